--- /dev/null
+++ b/cmd/endivewing/main.go
@@ -0,0 +1,4 @@
+// Command endivewing dispatches sub-second tasks.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/statechart/statechart.go
@@ -0,0 +1,220 @@
+// Package statechart loads state charts from YAML and steps machines through
+// them. A chart is checked when it is loaded; stepping is a table lookup.
+//
+//	name: task
+//	initial: waiting
+//	states:
+//	  waiting:
+//	    on: {send: sent}
+//	  sent:
+//	    on: {done: done}
+//	  done:
+//	    final: true
+package statechart
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+)
+
+// State is the number of a state in its chart.
+type State uint8
+
+// Event is the number of an event in its chart.
+type Event uint8
+
+// none marks a pair of state and event without a transition.
+const none State = 0xff
+
+// maxNumbers bounds the states and the events of one chart.
+const maxNumbers = 250
+
+// Chart is a checked state chart; it never changes after Load.
+type Chart struct {
+	name    string
+	initial State
+	states  []string
+	events  []string
+	final   []bool
+	next    [][]State // by state, then event
+}
+
+// TransitionError is returned for an event that a state has no transition for.
+type TransitionError struct {
+	Chart, State, Event string
+}
+
+// Error implements error.
+func (e *TransitionError) Error() string {
+	return fmt.Sprintf("chart %s: no transition from %s on %s", e.Chart, e.State, e.Event)
+}
+
+type source struct {
+	Name    string                 `yaml:"name"`
+	Initial string                 `yaml:"initial"`
+	States  map[string]sourceState `yaml:"states"`
+}
+
+type sourceState struct {
+	On    map[string]string `yaml:"on"`
+	Final bool              `yaml:"final"`
+}
+
+// Load reads and checks a chart. The error lists every finding.
+func Load(text []byte) (*Chart, error) {
+	var src source
+	if err := yaml.UnmarshalWithOptions(text, &src, yaml.Strict()); err != nil {
+		return nil, eris.Wrap(err, "chart")
+	}
+	if findings := src.check(); len(findings) > 0 {
+		return nil, eris.Errorf("chart %s: %q", src.Name, findings)
+	}
+	return src.compile(), nil
+}
+
+// MustLoad is Load for embedded charts; it panics on an error.
+func MustLoad(text []byte) *Chart {
+	c, err := Load(text)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// check returns what is wrong with the chart.
+func (s *source) check() []string {
+	var findings []string
+	if s.Name == "" {
+		findings = append(findings, "no name")
+	}
+	if _, ok := s.States[s.Initial]; !ok {
+		findings = append(findings, fmt.Sprintf("initial state %q is not declared", s.Initial))
+	}
+	if len(s.States) > maxNumbers || len(s.eventNames()) > maxNumbers {
+		findings = append(findings, "too many states or events")
+	}
+	reached := s.reachable()
+	for _, name := range s.stateNames() {
+		findings = append(findings, s.checkState(name, reached[name])...)
+	}
+	return findings
+}
+
+func (s *source) checkState(name string, reached bool) []string {
+	var findings []string
+	state := s.States[name]
+	for event, target := range state.On {
+		if _, ok := s.States[target]; !ok {
+			findings = append(findings, fmt.Sprintf("%s on %s: state %q is not declared", name, event, target))
+		}
+	}
+	if state.Final && len(state.On) > 0 {
+		findings = append(findings, fmt.Sprintf("final state %s has transitions", name))
+	}
+	if !state.Final && len(state.On) == 0 {
+		findings = append(findings, fmt.Sprintf("state %s has no way out and is not final", name))
+	}
+	if !reached {
+		findings = append(findings, fmt.Sprintf("state %s can't be reached", name))
+	}
+	return findings
+}
+
+func (s *source) reachable() map[string]bool {
+	reached := map[string]bool{s.Initial: true}
+	frontier := []string{s.Initial}
+	for len(frontier) > 0 {
+		name := frontier[0]
+		frontier = frontier[1:]
+		for _, target := range s.States[name].On {
+			if !reached[target] {
+				reached[target] = true
+				frontier = append(frontier, target)
+			}
+		}
+	}
+	return reached
+}
+
+func (s *source) stateNames() []string {
+	names := make([]string, 0, len(s.States))
+	for name := range s.States {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (s *source) eventNames() []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, state := range s.States {
+		for event := range state.On {
+			if !seen[event] {
+				seen[event] = true
+				names = append(names, event)
+			}
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (s *source) compile() *Chart {
+	c := &Chart{name: s.Name, states: s.stateNames(), events: s.eventNames()}
+	c.initial = c.State(s.Initial)
+	c.final = make([]bool, len(c.states))
+	c.next = make([][]State, len(c.states))
+	for i, name := range c.states {
+		c.final[i] = s.States[name].Final
+		c.next[i] = slices.Repeat([]State{none}, len(c.events))
+		for event, target := range s.States[name].On {
+			c.next[i][c.Event(event)] = c.State(target)
+		}
+	}
+	return c
+}
+
+// Initial is the state a new machine starts in.
+func (c *Chart) Initial() State { return c.initial }
+
+// State returns the number of a named state; it panics on an unknown name, so
+// that code and chart are checked against each other at start.
+func (c *Chart) State(name string) State {
+	i, ok := slices.BinarySearch(c.states, name)
+	if !ok {
+		panic(fmt.Sprintf("chart %s has no state %q", c.name, name))
+	}
+	return State(i)
+}
+
+// Event returns the number of a named event; it panics on an unknown name.
+func (c *Chart) Event(name string) Event {
+	i, ok := slices.BinarySearch(c.events, name)
+	if !ok {
+		panic(fmt.Sprintf("chart %s has no event %q", c.name, name))
+	}
+	return Event(i)
+}
+
+// Name returns the name of a state, for dumps and logs.
+func (c *Chart) Name(s State) string { return c.states[s] }
+
+// Final tells whether a state has no way out.
+func (c *Chart) Final(s State) bool { return c.final[s] }
+
+// Can tells whether the state has a transition on the event.
+func (c *Chart) Can(s State, e Event) bool { return c.next[s][e] != none }
+
+// Next returns the state after an event. The error is a *TransitionError, and
+// the state is then unchanged.
+func (c *Chart) Next(s State, e Event) (State, error) {
+	if to := c.next[s][e]; to != none {
+		return to, nil
+	}
+	return s, &TransitionError{Chart: c.name, State: c.states[s], Event: c.events[e]}
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// Session is an established connection to one peer.
+type Session struct {
+	opts  Options
+	mux   *yamux.Session
+	lanes [laneCount]*lane
+	peer  *wirepb.Hello
+	meter *meter
+
+	// received is the time of the last bytes from the peer, in Unix
+	// nanoseconds.
+	received atomic.Int64
+
+	calls     callTable
+	closeOnce sync.Once
+	done      chan struct{}
+}
+
+// Dial connects to a peer's listener. The error wraps ErrWrongVersion or
+// ErrWrongCluster when the peer does not fit.
+func Dial(ctx context.Context, address string, opts Options) (*Session, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial %s", address)
+	}
+	conn, err = secureClient(ctx, conn, opts.TLS)
+	if err != nil {
+		return nil, eris.Wrapf(err, "secure %s", address)
+	}
+	s, err := newSession(conn, opts, true)
+	if err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrapf(err, "handshake with %s", address)
+	}
+	return s, nil
+}
+
+// newSession runs the handshake on conn and starts the session's goroutines.
+func newSession(conn net.Conn, opts Options, client bool) (*Session, error) {
+	deadline := time.Now().Add(handshakeTimeout)
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, eris.Wrap(err, "set handshake deadline")
+	}
+	mux, err := newMux(conn, client)
+	if err != nil {
+		return nil, err
+	}
+	s := &Session{opts: opts, mux: mux, meter: newMeter(opts.Scope), done: make(chan struct{})}
+	s.calls.init()
+	if err := s.openLanes(client); err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	if err := s.exchangeHello(); err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = mux.Close()
+		return nil, eris.Wrap(err, "clear handshake deadline")
+	}
+	s.received.Store(time.Now().UnixNano())
+	return s, nil
+}
+
+// start begins to read and write; the handler may be called from now on.
+func (s *Session) start() {
+	for _, l := range s.lanes {
+		go l.writeLoop()
+		go l.readLoop()
+	}
+	go s.watchIdle()
+}
+
+// Start begins delivery to the handler. A session from Dial delivers nothing
+// before, so that the caller can first put it where its handler looks.
+func (s *Session) Start() { s.start() }
+
+// Peer is what the other side said about itself.
+func (s *Session) Peer() *wirepb.Hello { return s.peer }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.done }
+
+// Send queues a message on a lane and does not wait for it to leave. The
+// message must not be changed afterwards. Errors: ErrClosed, ErrQueueFull.
+func (s *Session) Send(on Lane, e *wirepb.Envelope) error {
+	return s.lanes[on].push(e)
+}
+
+// Call sends a request and waits for its reply. A reply that is a Fault is
+// returned as a *FaultError. After ErrClosed or the context's error the
+// outcome of the request is unknown.
+func (s *Session) Call(ctx context.Context, on Lane, e *wirepb.Envelope) (*wirepb.Envelope, error) {
+	number, reply := s.calls.open()
+	defer s.calls.drop(number)
+	e.Call = number
+	if err := s.Send(on, e); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-reply:
+		if f := r.GetFault(); f != nil {
+			return nil, &FaultError{Fault: f}
+		}
+		return r, nil
+	case <-s.done:
+		return nil, ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Reply answers the request with the given call number.
+func (s *Session) Reply(on Lane, call uint64, e *wirepb.Envelope) error {
+	e.Reply = call
+	return s.Send(on, e)
+}
+
+// Close ends the session at once. What still waits is not sent.
+func (s *Session) Close() {
+	s.closeOnce.Do(func() {
+		close(s.done)
+		_ = s.mux.Close()
+		for _, l := range s.lanes {
+			l.shut()
+		}
+		if s.opts.Closed != nil {
+			go s.opts.Closed(s)
+		}
+	})
+}
+
+// dispatch hands one received message to its waiting call or the handler.
+func (s *Session) dispatch(e *wirepb.Envelope) {
+	if e.Reply != 0 {
+		if !s.calls.answer(e) {
+			s.meter.dropped("late_reply")
+		}
+		return
+	}
+	s.opts.Handler(s, e)
+}
+
+// watchIdle sends heartbeats on an idle session and closes a silent one.
+func (s *Session) watchIdle() {
+	tick := time.NewTicker(HeartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-tick.C:
+			if now.UnixNano()-s.received.Load() > int64(IdleTimeout) {
+				s.opts.Log.Info("session silent, closing", "peer", s.peer.GetName())
+				s.meter.dropped("silent_session")
+				s.Close()
+				return
+			}
+			s.lanes[LaneUrgent].heartbeat(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,88 @@
+// Package wire carries protobuf messages between the system's processes over
+// yamux sessions.
+//
+// A session has one ordered stream per lane. Messages that wait together leave
+// in one frame, so batches form by themselves under load. A heartbeat is sent
+// only on a lane that was idle; a session from which nothing arrives for
+// IdleTimeout is closed.
+package wire
+
+import (
+	"crypto/tls"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// Version is the protocol version that this build speaks.
+const Version = 1
+
+// Lane selects a stream of a session. Messages on one lane stay in order;
+// messages on different lanes do not.
+type Lane byte
+
+const (
+	// LaneTraffic carries tasks, results and requests.
+	LaneTraffic Lane = iota
+	// LaneUrgent carries small messages that must not wait behind traffic.
+	LaneUrgent
+
+	laneCount = 2
+)
+
+const (
+	// HeartbeatInterval is how long the urgent lane stays idle before a
+	// heartbeat is sent.
+	HeartbeatInterval = time.Second
+	// IdleTimeout is how long nothing may arrive before the session is closed.
+	IdleTimeout = 4 * time.Second
+
+	// MaxFrameBytes bounds the frame that a peer may send.
+	MaxFrameBytes = 32 << 20
+	// frameTargetBytes is the size at which a batch is cut.
+	frameTargetBytes = 256 << 10
+	// maxQueuedBytes bounds what waits for a peer that does not read.
+	maxQueuedBytes = 128 << 20
+
+	handshakeTimeout = 3 * time.Second
+	lengthBytes      = 4
+)
+
+var (
+	// ErrClosed is returned when the session has ended. Whether messages sent
+	// shortly before have arrived is unknown.
+	ErrClosed = errors.New("wire: session closed")
+	// ErrQueueFull is returned when the peer reads too slowly; the message was
+	// not sent and the session is being closed.
+	ErrQueueFull = errors.New("wire: send queue full")
+	// ErrFrameTooLarge is returned for a frame over MaxFrameBytes.
+	ErrFrameTooLarge = errors.New("wire: frame too large")
+	// ErrWrongVersion is returned for a peer that speaks another version.
+	ErrWrongVersion = errors.New("wire: wrong protocol version")
+	// ErrWrongCluster is returned for a peer of another deployment.
+	ErrWrongCluster = errors.New("wire: wrong cluster")
+)
+
+// Handler receives each message of a peer. It is called from one goroutine
+// per lane, in the lane's order, and must not block for long.
+type Handler func(s *Session, e *wirepb.Envelope)
+
+// Options are the settings of a process's sessions.
+type Options struct {
+	// Hello returns what the process says about itself; its incarnation may
+	// change from one session to the next.
+	Hello func() *wirepb.Hello
+	// Handler receives the messages.
+	Handler Handler
+	// Closed is called once when a session has ended; it may be nil.
+	Closed func(s *Session)
+	// TLS secures the sessions when set.
+	TLS *tls.Config
+	// Scope receives the counts of messages and bytes by kind.
+	Scope tally.Scope
+	Log   logr.Logger
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testOptions(cluster string, h Handler) Options {
+	return Options{
+		Hello:   func() *wirepb.Hello { return &wirepb.Hello{Role: "entry", Name: "a", Cluster: cluster} },
+		Handler: h,
+		Log:     logr.Discard(),
+	}
+}
+
+func startPair(t *testing.T, server, client Options) *Session {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", server)
+	assert.NilError(t, err)
+	go l.Serve()
+	t.Cleanup(l.Close)
+	s, err := Dial(context.Background(), l.Address(), client)
+	assert.NilError(t, err)
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func ignore(*Session, *wirepb.Envelope) {}
+
+func query(job uint64) *wirepb.Envelope {
+	q := &wirepb.GetJobRequest{Job: job}
+	return &wirepb.Envelope{Body: &wirepb.Envelope_GetJobRequest{GetJobRequest: q}}
+}
+
+func echoJob(s *Session, e *wirepb.Envelope) {
+	r := &wirepb.GetJobResponse{Job: &wirepb.JobRecord{Job: e.GetGetJobRequest().GetJob()}}
+	_ = s.Reply(LaneTraffic, e.Call, &wirepb.Envelope{Body: &wirepb.Envelope_GetJobResponse{GetJobResponse: r}})
+}
+
+func TestEachCallGetsItsOwnReply(t *testing.T) {
+	s := startPair(t, testOptions("c", echoJob), testOptions("c", ignore))
+	var wg sync.WaitGroup
+	for job := uint64(1); job <= 200; job++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r, err := s.Call(context.Background(), LaneTraffic, query(job))
+			assert.Check(t, err)
+			assert.Check(t, r.GetGetJobResponse().GetJob().GetJob() == job)
+		}()
+	}
+	wg.Wait()
+}
+
+func TestFaultIsAnError(t *testing.T) {
+	refuse := func(s *Session, e *wirepb.Envelope) {
+		_ = s.Reply(LaneTraffic, e.Call, FaultReply(wirepb.FaultCode_FAULT_CODE_NOT_LEADER, "no", "x:1"))
+	}
+	s := startPair(t, testOptions("c", refuse), testOptions("c", ignore))
+	_, err := s.Call(context.Background(), LaneTraffic, query(1))
+	var fault *FaultError
+	assert.Assert(t, errors.As(err, &fault))
+	assert.Equal(t, fault.Fault.Leader, "x:1")
+}
+
+func TestCallEndsWithTheSession(t *testing.T) {
+	hangUp := func(s *Session, _ *wirepb.Envelope) { s.Close() }
+	s := startPair(t, testOptions("c", hangUp), testOptions("c", ignore))
+	_, err := s.Call(context.Background(), LaneTraffic, query(1))
+	assert.ErrorIs(t, err, ErrClosed)
+	assert.ErrorIs(t, s.Send(LaneTraffic, query(2)), ErrClosed)
+}
+
+func TestOtherClusterIsRefused(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", testOptions("one", ignore))
+	assert.NilError(t, err)
+	go l.Serve()
+	defer l.Close()
+	_, err = Dial(context.Background(), l.Address(), testOptions("two", ignore))
+	assert.ErrorIs(t, err, ErrWrongCluster)
+}
+
+func TestGarbageIsDropped(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", testOptions("c", ignore))
+	assert.NilError(t, err)
+	go l.Serve()
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(4*handshakeTimeout)))
+	for err == nil {
+		_, err = conn.Read(make([]byte, 64))
+	}
+	var timeout net.Error
+	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout())
+}
