--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fixture struct {
+	*Minion
+	record string
+	client http.Client
+}
+
+func start(t *testing.T, opts Options) *fixture {
+	t.Helper()
+	f := &fixture{record: filepath.Join(t.TempDir(), "record")}
+	opts.RecordPath = f.record
+	m, err := Start(opts)
+	assert.NilError(t, err)
+	f.Minion = m
+	t.Cleanup(func() {
+		m.Stop()
+		f.client.CloseIdleConnections()
+	})
+	return f
+}
+
+func (f *fixture) post(ctx context.Context, task int, payload string) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, f.URL()+"/v1/tasks/proof", strings.NewReader(payload))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Header.Set(HeaderJob, "7")
+	r.Header.Set(HeaderTask, strconv.Itoa(task))
+	resp, err := f.client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+func (f *fixture) events(t *testing.T) []Event {
+	t.Helper()
+	lines, err := ReadRecord(f.record)
+	assert.NilError(t, err)
+	var events []Event
+	for i, line := range lines {
+		assert.Equal(t, line.Sequence, uint64(i+1))
+		events = append(events, line.Event)
+	}
+	return events
+}
+
+func TestPayloadDecidesResult(t *testing.T) {
+	cases := []struct {
+		name, payload string
+		status        int
+		event         Event
+	}{
+		{"hash", "anything", 200, EventEnd},
+		{"echo", `{"echo":"abc"}`, 200, EventEnd},
+		{"padded", `{"echo":"abc","result_bytes":9}`, 200, EventEnd},
+		{"fails", `{"fail":true}`, 500, EventFailed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, Options{})
+			status, body, err := f.post(context.Background(), 1, c.payload)
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.status)
+			if status == 200 {
+				assert.Equal(t, body, string(Result([]byte(c.payload))))
+			}
+			assert.DeepEqual(t, f.events(t), []Event{EventStart, c.event})
+		})
+	}
+}
+
+func waitEvents(t *testing.T, f *fixture, want ...Event) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(f.events(t)) < len(want) {
+			return poll.Continue("waiting for %v", want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(2*time.Millisecond))
+	assert.DeepEqual(t, f.events(t), want)
+}
+
+func TestCutRequestIsStopped(t *testing.T) {
+	f := start(t, Options{})
+	f.Freeze()
+	ctx, cut := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = f.post(ctx, 1, "x")
+	}()
+	waitEvents(t, f, EventStart)
+	cut()
+	<-done
+	waitEvents(t, f, EventStart, EventStopped)
+	f.Release()
+}
+
+func TestSlotsAreTheMinionsOwnLimit(t *testing.T) {
+	f := start(t, Options{Slots: 1})
+	f.Freeze()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = f.post(context.Background(), 1, "x")
+	}()
+	waitEvents(t, f, EventStart)
+	status, _, err := f.post(context.Background(), 2, "x")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusTooManyRequests)
+	f.Release()
+	<-done
+	assert.DeepEqual(t, f.events(t), []Event{EventStart, EventRefused, EventEnd})
+}
+
+func TestFailuresDependOnSeedAndTaskAlone(t *testing.T) {
+	count := func(seed uint64) int {
+		m := &Minion{opts: Options{FailRatio: 0.25, FailSeed: seed}}
+		n := 0
+		for task := range uint32(10000) {
+			if m.fails(taskID{job: 3, task: task}) {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, count(1), count(1))
+	assert.Assert(t, count(1) != count(2))
+	assert.Assert(t, count(1) > 2300 && count(1) < 2700)
+}
