Placement: waiting jobs, four policies, three orders, team shares

The entry needs one place that decides which waiting task goes to which agent. This first version holds jobs per service and team, keeps agents with a free slot by level so that a choice takes constant time, and bounds what waits.

--- /dev/null
+++ b/internal/placement/policy.go
@@ -0,0 +1,72 @@
+package placement
+
+import "math/rand/v2"
+
+// policy bounds the tasks at an agent and chooses among those below the bound.
+type policy interface {
+	// limit is the number of tasks that may be outstanding at the agent.
+	limit(a *agent) int
+	// score orders agents; the smallest is preferred.
+	score(a *agent) int
+	// pick chooses from a pool with at least one ready agent.
+	pick(p *pool, r *rand.Rand) *agent
+}
+
+var policies = map[string]policy{
+	PolicyRandom:           randomPolicy{},
+	PolicyLeastOutstanding: leastOutstanding{},
+	PolicyTwoChoices:       twoChoices{},
+	PolicyLeases:           leases{},
+}
+
+func newPolicy(cfg Config) policy { return policies[cfg.Policy] }
+
+// pickAgent chooses an agent for a service that is ready.
+func (d *Dispatcher) pickAgent(s *service) *agent {
+	var best *pool
+	level := levelCount
+	for _, p := range s.pools {
+		if l := p.bestLevel(); l < level {
+			best, level = p, l
+		}
+	}
+	return d.policy.pick(best, d.rand)
+}
+
+// pickBest takes a random agent of the best level.
+func pickBest(p *pool, r *rand.Rand) *agent {
+	list := p.levels[p.bestLevel()]
+	return list[r.IntN(len(list))]
+}
+
+func pickAny(p *pool, r *rand.Rand) *agent { return p.ready[r.IntN(len(p.ready))] }
+
+type randomPolicy struct{}
+
+func (randomPolicy) limit(a *agent) int                { return earlyWindow * int(a.info.Slots) }
+func (randomPolicy) score(*agent) int                  { return 0 }
+func (randomPolicy) pick(p *pool, r *rand.Rand) *agent { return pickAny(p, r) }
+
+type leastOutstanding struct{}
+
+func (leastOutstanding) limit(a *agent) int                { return int(a.info.Slots) }
+func (leastOutstanding) score(a *agent) int                { return a.outstanding }
+func (leastOutstanding) pick(p *pool, r *rand.Rand) *agent { return pickBest(p, r) }
+
+type twoChoices struct{}
+
+func (twoChoices) limit(a *agent) int { return int(a.info.Slots) }
+func (twoChoices) score(a *agent) int { return a.load() }
+func (twoChoices) pick(p *pool, r *rand.Rand) *agent {
+	a, b := pickAny(p, r), pickAny(p, r)
+	if b.level < a.level {
+		return b
+	}
+	return a
+}
+
+type leases struct{}
+
+func (leases) limit(a *agent) int                { return a.granted }
+func (leases) score(a *agent) int                { return a.outstanding }
+func (leases) pick(p *pool, r *rand.Rand) *agent { return pickBest(p, r) }
