Settings with every finding placed, logs, metrics, dumps, command line

Cause: roles need checked settings and a way to be looked into.

Change: settings decoded over defaults from the syntax tree, so that unknown keys, wrong types and rule breaches are all reported at once with file, line and column; a settings reference made from the code and held by a test; zap behind logr; tally with a Prometheus page; a debug listener; kong commands check, settings, version.

Ruled out: the YAML library's strict mode, which stops at its first finding.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,107 @@
+// Package cli holds the commands of the endivewing program.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK = 0
+	// ExitFailed: the command ran and its answer is a failure, such as a
+	// failed job or findings in settings.
+	ExitFailed = 1
+	// ExitUsage: the command line was wrong.
+	ExitUsage = 2
+	// ExitUnavailable: the service could not be reached or refused; nothing
+	// ran.
+	ExitUnavailable = 3
+	// ExitUnknown: whether the request took effect is unknown.
+	ExitUnknown = 4
+)
+
+// grammar is the program's command line.
+type grammar struct {
+	Serve    serveCommand    `cmd:"" help:"Run the roles that a settings file names."`
+	Check    checkCommand    `cmd:"" help:"Print every finding of a settings file; start nothing."`
+	Settings settingsCommand `cmd:"" help:"Print the settings reference."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+// output is where a command writes.
+type output struct {
+	out, err io.Writer
+}
+
+// exitError ends the program with a code; a nil cause prints nothing.
+type exitError struct {
+	code  int
+	cause error
+}
+
+// Error implements error.
+func (e *exitError) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("exit %d", e.code)
+	}
+	return e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.cause }
+
+// helpShown is the panic value by which kong's exit after --help unwinds.
+type helpShown struct{ code int }
+
+// Run parses the arguments, runs the command and returns the exit code. It
+// stops the command gracefully on SIGTERM and SIGINT.
+func Run(args []string, out, errOut io.Writer) (code int) {
+	defer func() {
+		if shown, ok := recover().(helpShown); ok {
+			code = shown.code
+		}
+	}()
+	var g grammar
+	parser, err := kong.New(&g,
+		kong.Name("endivewing"),
+		kong.Description("A dispatcher for sub-second tasks."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { panic(helpShown{code}) }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	return exitCode(parsed.Run(&output{out: out, err: errOut}), errOut)
+}
+
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var exit *exitError
+	if !errors.As(err, &exit) {
+		fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+	if exit.cause != nil {
+		fmt.Fprintln(errOut, exit.cause)
+	}
+	return exit.code
+}
--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,54 @@
+package config
+
+import "time"
+
+// Default returns the settings that hold where a file is silent.
+func Default() Settings {
+	return Settings{
+		StopTimeout: Duration(30 * time.Second),
+		Control:     defaultControl(),
+		Entry:       defaultEntry(),
+		Agent:       defaultAgent(),
+		Debug:       Debug{Listen: "127.0.0.1:0"},
+		Log:         Log{Level: "info"},
+	}
+}
+
+func defaultControl() Control {
+	return Control{
+		Listen:     "127.0.0.1:0",
+		Lease:      Duration(5 * time.Second),
+		Election:   Duration(time.Second),
+		Retention:  Duration(time.Hour),
+		Remember:   Duration(14 * 24 * time.Hour),
+		SnapshotAt: 20000,
+	}
+}
+
+func defaultEntry() Entry {
+	return Entry{
+		Listen:       "127.0.0.1:0",
+		MaxBody:      8 << 20,
+		MaxTasks:     390,
+		MaxPayload:   1 << 20,
+		QueueTasks:   50000,
+		QueueBytes:   256 << 20,
+		MaxWait:      Duration(10 * time.Second),
+		Policy:       "leases",
+		Order:        "aged",
+		IdleTimeout:  Duration(2 * time.Minute),
+		ReadTimeout:  Duration(15 * time.Second),
+		DefaultLimit: Duration(2 * time.Minute),
+	}
+}
+
+func defaultAgent() Agent {
+	return Agent{
+		Listen:      "127.0.0.1:0",
+		Slots:       8,
+		Connections: 64,
+		QueueTasks:  16,
+		QueueBytes:  16 << 20,
+		ResultBytes: 128 << 20,
+	}
+}
--- /dev/null
+++ b/internal/observe/debug.go
@@ -0,0 +1,56 @@
+package observe
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+)
+
+// headerTimeout bounds how long a request's header may take.
+const headerTimeout = 5 * time.Second
+
+// DebugServer serves the state dump, the metrics and liveness of a process.
+type DebugServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// StartDebug listens on an address and serves until Stop. dump is called for
+// each request of /debug/state; its value is written as JSON.
+func StartDebug(address string, dump func() any, metrics *Metrics) (*DebugServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	d := &DebugServer{listener: l, server: &http.Server{
+		Handler:           debugRoutes(dump, metrics),
+		ReadHeaderTimeout: headerTimeout,
+	}}
+	go func() { _ = d.server.Serve(l) }()
+	return d, nil
+}
+
+func debugRoutes(dump func() any, metrics *Metrics) http.Handler {
+	e := echo.New()
+	e.GET("/debug/state", func(c echo.Context) error {
+		return c.JSONPretty(http.StatusOK, dump(), "  ")
+	})
+	e.GET("/metrics", echo.WrapHandler(metrics.Handler()))
+	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusNoContent) })
+	return e
+}
+
+// Address is where the server listens, with the real port.
+func (d *DebugServer) Address() string { return d.listener.Addr().String() }
+
+// Stop ends the server; requests in flight have until the context ends.
+func (d *DebugServer) Stop(ctx context.Context) {
+	if err := d.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+		_ = d.server.Close()
+	}
+}
