Yardstick of an omniscient central queue; policy names as in the settings

Lag is measured against the least time a job alone on the fleet could take. The central queue with the same arrivals and true run times shows how much of a lag is load.

--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -11,19 +11,19 @@
 	PolicyRandom = "random"
 	// PolicyLeastOutstanding takes the agent with the fewest tasks of this
 	// entry, up to its number of slots.
-	PolicyLeastOutstanding = "least_outstanding"
+	PolicyLeastOutstanding = "least"
 	// PolicyTwoChoices compares two random agents by their reported load.
-	PolicyTwoChoices = "two_choices"
+	PolicyTwoChoices = "two-choices"
 	// PolicyLeases uses only the slots that agents have lent to this entry.
-	PolicyLeases = "slot_leases"
+	PolicyLeases = "leases"
 )
 
 // Names of the orders among waiting jobs.
 const (
 	// OrderFirstCome serves jobs in the order of their acceptance.
-	OrderFirstCome = "first_come"
+	OrderFirstCome = "arrival"
 	// OrderFewestRemaining serves the job with the fewest unfinished tasks.
-	OrderFewestRemaining = "fewest_remaining"
+	OrderFewestRemaining = "fewest"
 	// OrderAged is fewest remaining, but a later job passes an earlier one
 	// only for a bounded time.
 	OrderAged = "aged"
--- /dev/null
+++ b/internal/yardstick/yardstick_test.go
@@ -0,0 +1,63 @@
+package yardstick
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "200")
+	os.Exit(m.Run())
+}
+
+func TestCentralQueueByHand(t *testing.T) {
+	ms := time.Millisecond
+	jobs := []Job{
+		{Arrival: 10 * ms, Runs: []time.Duration{10 * ms}},
+		{Arrival: 0, Runs: []time.Duration{30 * ms, 20 * ms, 5 * ms}},
+	}
+	ends := CentralQueue(2, jobs)
+	assert.DeepEqual(t, ends, []time.Duration{35 * ms, 30 * ms})
+	assert.DeepEqual(t, Lags(2, jobs, ends), []time.Duration{15 * ms, 0})
+}
+
+func drawJobs(t *rapid.T) []Job {
+	var jobs []Job
+	for range rapid.IntRange(1, 20).Draw(t, "jobs") {
+		j := Job{Arrival: time.Duration(rapid.IntRange(0, 1000).Draw(t, "at"))}
+		for range rapid.IntRange(1, 10).Draw(t, "tasks") {
+			j.Runs = append(j.Runs, time.Duration(rapid.IntRange(0, 500).Draw(t, "run")))
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// One slot serves the jobs one after the other; no job beats its lower bound;
+// no slot is idle while a task waits, so the last end is within the bound of
+// list scheduling after the last arrival.
+func TestCentralQueueBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		jobs := drawJobs(t)
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		var work, longest, lastArrival, lastEnd time.Duration
+		ends := CentralQueue(slots, jobs)
+		for i, lag := range Lags(slots, jobs, ends) {
+			assert.Assert(t, lag >= 0)
+			lastEnd = max(lastEnd, ends[i])
+			lastArrival = max(lastArrival, jobs[i].Arrival)
+			for _, r := range jobs[i].Runs {
+				work += r
+				longest = max(longest, r)
+			}
+		}
+		assert.Assert(t, lastEnd <= lastArrival+work/time.Duration(slots)+longest+1)
+	})
+}
