--- a/charts/charts.go
+++ b/charts/charts.go
@@ -2,3 +2,13 @@
 package charts
 
 import _ "embed"
+
+// Task is the chart of a task at its entry.
+//
+//go:embed task.yaml
+var Task []byte
+
+// Job is the chart of a job at its entry.
+//
+//go:embed job.yaml
+var Job []byte
--- /dev/null
+++ b/internal/owner/batches.go
@@ -0,0 +1,174 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+const (
+	// maxRecordBytes bounds one batch of completions.
+	maxRecordBytes = 1 << 20
+	// maxRecordJobs bounds the jobs of one batch of completions.
+	maxRecordJobs = 512
+)
+
+// target is an agent and a group: messages are batched for each.
+type target struct {
+	agent, group uint64
+}
+
+// batches holds what is sent together at the next Flush.
+type batches struct {
+	cancels     map[target][]*wirepb.TaskRef
+	recalls     map[target][]*wirepb.TaskRef
+	forgets     map[target][]uint64
+	completions map[uint64][]*wirepb.JobCompletion
+}
+
+func newBatches() batches {
+	return batches{
+		cancels:     map[target][]*wirepb.TaskRef{},
+		recalls:     map[target][]*wirepb.TaskRef{},
+		forgets:     map[target][]uint64{},
+		completions: map[uint64][]*wirepb.JobCompletion{},
+	}
+}
+
+func (b *batches) cancel(agent uint64, j *job, index uint32) {
+	to := target{agent, j.group.id}
+	b.cancels[to] = append(b.cancels[to], j.ref(index))
+}
+
+func (b *batches) recall(agent uint64, j *job, index uint32) {
+	to := target{agent, j.group.id}
+	b.recalls[to] = append(b.recalls[to], j.ref(index))
+}
+
+func (b *batches) forget(agent uint64, g *group, job uint64) {
+	to := target{agent, g.id}
+	b.forgets[to] = append(b.forgets[to], job)
+}
+
+// forgetOnce is forget for a job that is named once for each of its tasks.
+func (b *batches) forgetOnce(agent uint64, g *group, job uint64) {
+	waiting := b.forgets[target{agent, g.id}]
+	if len(waiting) == 0 || waiting[len(waiting)-1] != job {
+		b.forget(agent, g, job)
+	}
+}
+
+func (b *batches) complete(j *job, a *wirepb.JobAnswer) {
+	c := &wirepb.JobCompletion{Job: j.id, Answer: a}
+	b.completions[j.group.id] = append(b.completions[j.group.id], c)
+}
+
+// dropAgent forgets what waits for an agent whose session ended. Cancels and
+// recalls are asked anew by the query that follows the next session; what an
+// agent is not told to forget falls under the floor of a later message.
+func (b *batches) dropAgent(agent uint64) {
+	drop := func(to target) bool { return to.agent == agent }
+	maps.DeleteFunc(b.cancels, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
+	maps.DeleteFunc(b.recalls, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
+	maps.DeleteFunc(b.forgets, func(to target, _ []uint64) bool { return drop(to) })
+}
+
+func (b *batches) dropGroup(group uint64) {
+	drop := func(to target) bool { return to.group == group }
+	maps.DeleteFunc(b.cancels, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
+	maps.DeleteFunc(b.recalls, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
+	maps.DeleteFunc(b.forgets, func(to target, _ []uint64) bool { return drop(to) })
+	delete(b.completions, group)
+}
+
+func (j *job) ref(index uint32) *wirepb.TaskRef {
+	return &wirepb.TaskRef{Job: j.id, Task: index, Attempt: j.tasks[index].attempt}
+}
+
+// Flush sends what was batched since the last one.
+func (o *Owner) Flush() {
+	b := &o.batches
+	for _, to := range sortedTargets(b.recalls) {
+		m := &wirepb.RecallTasks{Group: to.group, Epoch: o.epoch(to.group), Tasks: b.recalls[to]}
+		o.fx.Send(to.agent, &wirepb.Envelope{Body: &wirepb.Envelope_RecallTasks{RecallTasks: m}})
+	}
+	for _, to := range sortedTargets(b.cancels) {
+		m := &wirepb.CancelTasks{Group: to.group, Epoch: o.epoch(to.group), Tasks: b.cancels[to]}
+		o.fx.Send(to.agent, &wirepb.Envelope{Body: &wirepb.Envelope_CancelTasks{CancelTasks: m}})
+	}
+	for _, to := range sortedTargets(b.forgets) {
+		m := &wirepb.ForgetJobs{Group: to.group, Epoch: o.epoch(to.group), Jobs: b.forgets[to], OpenFrom: o.floor(to.group)}
+		o.fx.Send(to.agent, &wirepb.Envelope{Body: &wirepb.Envelope_ForgetJobs{ForgetJobs: m}})
+	}
+	clear(b.recalls)
+	clear(b.cancels)
+	clear(b.forgets)
+	o.flushCompletions()
+}
+
+func (o *Owner) flushCompletions() {
+	for _, group := range slices.Sorted(maps.Keys(o.batches.completions)) {
+		rest := o.batches.completions[group]
+		for len(rest) > 0 {
+			n := recordBatch(rest)
+			o.fx.Record(group, o.epoch(group), rest[:n:n])
+			rest = rest[n:]
+		}
+	}
+	clear(o.batches.completions)
+}
+
+// recordBatch is how many of the completions go into the next batch.
+func recordBatch(rest []*wirepb.JobCompletion) int {
+	size := 0
+	for i, c := range rest {
+		size += proto.Size(c)
+		if i > 0 && size > maxRecordBytes || i == maxRecordJobs {
+			return i
+		}
+	}
+	return len(rest)
+}
+
+func (o *Owner) epoch(group uint64) uint64 {
+	if g := o.groups[group]; g != nil {
+		return g.epoch
+	}
+	return 0
+}
+
+// floor is the number below which every job of the group has ended and is
+// durable.
+func (o *Owner) floor(id uint64) uint64 {
+	g := o.groups[id]
+	if g == nil || !g.loaded {
+		return 0
+	}
+	floor := uint64(math.MaxUint64)
+	if id == o.cfg.Incarnation {
+		floor = o.known + 1
+		for _, known := range o.accepts {
+			floor = min(floor, known+1)
+		}
+	}
+	if first, ok := g.firstOpen(); ok {
+		floor = min(floor, first)
+	}
+	return floor
+}
+
+func sortedTargets[T any](m map[target]T) []target {
+	keys := make([]target, 0, len(m))
+	for to := range m {
+		keys = append(keys, to)
+	}
+	slices.SortFunc(keys, func(a, b target) int {
+		return cmp.Or(cmp.Compare(a.agent, b.agent), cmp.Compare(a.group, b.group))
+	})
+	return keys
+}
--- /dev/null
+++ b/internal/owner/job.go
@@ -0,0 +1,189 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	apijob "endivewing/api/job"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/charts"
+	"endivewing/internal/statechart"
+)
+
+// Reasons of a failed job.
+const (
+	ReasonTaskFailed = apijob.ReasonTaskFailed
+	ReasonAgentLost  = apijob.ReasonAgentLost
+	ReasonCancelled  = apijob.ReasonCancelled
+	ReasonDeadline   = apijob.ReasonDeadline
+	// ReasonAgentLeft is the reason of a task that an agent had not started
+	// when it left cleanly.
+	ReasonAgentLeft = "agent_left"
+)
+
+var (
+	jobChart    = statechart.MustLoad(charts.Job)
+	jobOpen     = jobChart.State("open")
+	jobClaiming = jobChart.State("claiming")
+	jobFailing  = jobChart.State("failing")
+	jobEnded    = jobChart.State("ended")
+
+	evInherit = jobChart.Event("inherit")
+	evClaimed = jobChart.Event("claimed")
+	evFail    = jobChart.Event("fail")
+	evSettle  = jobChart.Event("settle")
+	evClose   = jobChart.Event("close")
+)
+
+// job is one job of a group.
+type job struct {
+	id       uint64
+	spec     *wirepb.JobSpec
+	group    *group
+	state    statechart.State
+	tasks    []task
+	deadline time.Time
+
+	// held is the number of tasks that an agent has or may have; doubtful is
+	// the part of it that is not known to have started.
+	held, doubtful int
+	done           int
+	// started: a task was started, or may have been and that will never be
+	// known.
+	started bool
+
+	failure   failure
+	graceEnd  time.Time
+	graceOver bool
+	recorded  bool
+
+	// agents are the incarnations that were sent or reported a task.
+	agents []uint64
+}
+
+// failure is why a job fails.
+type failure struct {
+	reason, detail string
+	task           uint32
+}
+
+// answered tells whether the job's answer is final.
+func (j *job) answered() bool { return j.state == jobEnded || jobChart.Final(j.state) }
+
+// on steps the job's chart; ok is false when the state has no such transition.
+func (j *job) on(e statechart.Event) (ok bool) {
+	next, err := jobChart.Next(j.state, e)
+	j.state = next
+	return err == nil
+}
+
+// touch notes that the agent knows of the job.
+func (j *job) touch(agent uint64) {
+	if !slices.Contains(j.agents, agent) {
+		j.agents = append(j.agents, agent)
+	}
+}
+
+// fail decides that the job fails: what waits never runs, what agents hold is
+// cancelled. The answer follows when it is final.
+func (o *Owner) fail(j *job, f failure, now time.Time) {
+	if !j.on(evFail) {
+		return
+	}
+	j.failure = f
+	o.fx.Withdraw(j.id)
+	for i := range j.tasks {
+		o.stop(j, uint32(i))
+	}
+	j.graceEnd = now.Add(o.cfg.ResolveGrace)
+	o.settle(j)
+	if !j.answered() {
+		o.timers.add(j.graceEnd, j.id)
+	}
+}
+
+// stop drops a waiting task of a failing job and cancels a held one.
+func (o *Owner) stop(j *job, index uint32) {
+	t := &j.tasks[index]
+	switch {
+	case t.state == taskWaiting:
+		t.on(evDrop)
+	case t.atAgent():
+		o.batches.cancel(t.agent, j, index)
+	}
+}
+
+// settle answers the job when its answer is final.
+func (o *Owner) settle(j *job) {
+	switch {
+	case j.answered():
+		o.closeIfDone(j)
+	case j.state == jobFailing:
+		if j.started || j.doubtful == 0 || j.graceOver {
+			o.answer(j, j.failedAnswer())
+		}
+	case j.done == len(j.tasks):
+		o.answer(j, j.completeAnswer())
+	}
+}
+
+func (o *Owner) answer(j *job, a *wirepb.JobAnswer) {
+	j.on(evSettle)
+	if a.Complete {
+		o.stats.Completed++
+	} else {
+		o.stats.Failed++
+	}
+	for i := range j.tasks {
+		j.tasks[i].result = nil
+	}
+	o.fx.Answer(j.id, a)
+	o.batches.complete(j, a)
+}
+
+// completeAnswer assembles the results in the order of the tasks.
+func (j *job) completeAnswer() *wirepb.JobAnswer {
+	results := make([][]byte, len(j.tasks))
+	for i := range j.tasks {
+		results[i] = j.tasks[i].result
+	}
+	return &wirepb.JobAnswer{Complete: true, Results: results}
+}
+
+// failedAnswer claims "not run" only when every task is known not to have
+// started and none can start any more.
+func (j *job) failedAnswer() *wirepb.JobAnswer {
+	return &wirepb.JobAnswer{
+		Reason:     j.failure.reason,
+		Detail:     j.failure.detail,
+		FailedTask: j.failure.task,
+		NotRun:     !j.started && j.doubtful == 0,
+	}
+}
+
+// closeIfDone lets agents forget a job whose completion is durable and of
+// which they hold nothing any more.
+func (o *Owner) closeIfDone(j *job) {
+	if !j.recorded || j.held > 0 || !j.on(evClose) {
+		return
+	}
+	delete(o.jobs, j.id)
+	j.group.closed(j.id)
+	for _, agent := range j.agents {
+		if a := o.agents[agent]; a != nil && !a.ended {
+			o.batches.forget(agent, j.group, j.id)
+		}
+	}
+}
+
+// sortedJobs returns the jobs by number, so that effects come in one order.
+func (o *Owner) sortedJobs() []*job {
+	jobs := make([]*job, 0, len(o.jobs))
+	for _, j := range o.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	return jobs
+}
