Start gate of the agent, as a pure state machine

The gate takes messages of entries, ends of requests and conditions, and returns starts, stops and messages. A session of an entry supersedes its older ones, so late copies of a lost session don't count; forgotten jobs are refused by number and by a floor; a group that the configuration no longer lists is over.

--- /dev/null
+++ b/internal/gate/action.go
@@ -0,0 +1,82 @@
+package gate
+
+import (
+	"time"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// SessionID numbers the sessions of one incarnation; the caller chooses it and
+// never uses a number twice.
+type SessionID uint64
+
+// Key names a task.
+type Key struct {
+	Job  uint64
+	Task uint32
+}
+
+// Actions is what the caller has to do after Settle, in the order of the
+// fields. The slices are valid until Acted.
+type Actions struct {
+	// Starts are requests to send to the minion.
+	Starts []Start
+	// Stops are running requests to cut; each still ends by Ended.
+	Stops []Key
+	// Sends are messages to entries.
+	Sends []Send
+	// Closes are sessions to close.
+	Closes []SessionID
+}
+
+// Start is one request to the minion.
+type Start struct {
+	Key     Key
+	Request *wirepb.StartTask
+	// Deadline is the time at which the task is stopped; 0 is none.
+	Deadline time.Duration
+}
+
+// Send is one message to the entry at the other end of a session.
+type Send struct {
+	Session SessionID
+	// Urgent messages must not wait behind task traffic.
+	Urgent   bool
+	Envelope *wirepb.Envelope
+}
+
+func (a *Actions) reset() {
+	clear(a.Starts)
+	clear(a.Sends)
+	a.Starts = a.Starts[:0]
+	a.Stops = a.Stops[:0]
+	a.Sends = a.Sends[:0]
+	a.Closes = a.Closes[:0]
+}
+
+func updateEnvelope(u *wirepb.TaskUpdate) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_TaskUpdate{TaskUpdate: u}}
+}
+
+func grantEnvelope(slots int, sequence uint64) *wirepb.Envelope {
+	g := &wirepb.SlotGrant{Slots: uint32(slots), Sequence: sequence}
+	return &wirepb.Envelope{Body: &wirepb.Envelope_SlotGrant{SlotGrant: g}}
+}
+
+func claimEnvelope(r *wirepb.ClaimReport) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_ClaimReport{ClaimReport: r}}
+}
+
+func queryEnvelope(r *wirepb.QueryReport) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_QueryReport{QueryReport: r}}
+}
+
+func drainingEnvelope(incarnation uint64) *wirepb.Envelope {
+	d := &wirepb.Draining{Incarnation: incarnation}
+	return &wirepb.Envelope{Body: &wirepb.Envelope_Draining{Draining: d}}
+}
+
+func loadEnvelope(l Load) *wirepb.Envelope {
+	m := &wirepb.AgentLoad{Slots: uint32(l.Slots), Running: uint32(l.Running), Queued: uint32(l.Queued)}
+	return &wirepb.Envelope{Body: &wirepb.Envelope_AgentLoad{AgentLoad: m}}
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,269 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+const (
+	testEntry   = 5
+	testSession = SessionID(1)
+)
+
+// bench is a gate with one connected entry that owns group 5.
+type bench struct {
+	t   testing.TB
+	g   *Gate
+	now time.Duration
+}
+
+func testLimits() Limits {
+	return Limits{Slots: 1, Connections: 64, QueueTasks: 4, QueueBytes: 1 << 20, ResultBytes: 1 << 20, MaxRun: time.Minute}
+}
+
+func newBench(t testing.TB, limits Limits) *bench {
+	b := &bench{t: t, g: New(Config{Incarnation: 9, Limits: limits})}
+	b.g.SetLease(true)
+	b.configure(1, testEntry)
+	b.g.SessionUp(b.now, testSession, testEntry)
+	b.settle()
+	return b
+}
+
+func (b *bench) configure(epoch, owner uint64) {
+	groups := map[uint64]*wirepb.Group{testEntry: {Group: testEntry, Epoch: epoch, Owner: owner}}
+	b.g.Configure(b.now, b.g.revision+10, groups)
+}
+
+func (b *bench) start(task, attempt uint32) {
+	b.g.StartTask(b.now, testSession, &wirepb.StartTask{
+		Job: 7, Task: task, Attempt: attempt, Group: testEntry, Epoch: 1, Incarnation: 9, Payload: []byte("p"), BudgetMs: 1000,
+	})
+}
+
+// settle returns the started tasks and the task updates, with those of reports.
+func (b *bench) settle() (started []uint32, updates []*wirepb.TaskUpdate) {
+	actions := b.g.Settle(b.now)
+	for _, s := range actions.Starts {
+		started = append(started, s.Key.Task)
+	}
+	for _, s := range actions.Sends {
+		if u := s.Envelope.GetTaskUpdate(); u != nil {
+			updates = append(updates, u)
+		}
+		updates = append(updates, s.Envelope.GetClaimReport().GetTasks()...)
+		updates = append(updates, s.Envelope.GetQueryReport().GetTasks()...)
+	}
+	b.g.Acted()
+	return started, updates
+}
+
+func (b *bench) wantUpdate(task, attempt uint32, outcome wirepb.TaskOutcome, reason Reason) {
+	if t, ok := b.t.(*testing.T); ok {
+		t.Helper()
+	}
+	_, updates := b.settle()
+	assert.Assert(b.t, len(updates) == 1, "%v", updates)
+	u := updates[0]
+	assert.Equal(b.t, u.Task, task)
+	assert.Equal(b.t, u.Attempt, attempt)
+	assert.Equal(b.t, u.Outcome, outcome)
+	assert.Equal(b.t, u.Reason, reason.String())
+}
+
+func refs(task, attempt uint32) []*wirepb.TaskRef {
+	return []*wirepb.TaskRef{{Job: 7, Task: task, Attempt: attempt}}
+}
+
+func (b *bench) recall(task, attempt uint32) {
+	b.g.Recall(b.now, testSession, &wirepb.RecallTasks{Group: testEntry, Epoch: 1, Tasks: refs(task, attempt)})
+}
+
+func (b *bench) cancel(task, attempt uint32) {
+	b.g.Cancel(b.now, testSession, &wirepb.CancelTasks{Group: testEntry, Epoch: 1, Tasks: refs(task, attempt)})
+}
+
+func (b *bench) query(task, attempt uint32) {
+	b.g.Query(testSession, &wirepb.QueryTasks{Group: testEntry, Epoch: 1, Tasks: refs(task, attempt)})
+}
+
+const (
+	notRun  = wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN
+	queued  = wirepb.TaskOutcome_TASK_OUTCOME_QUEUED
+	started = wirepb.TaskOutcome_TASK_OUTCOME_STARTED
+	done    = wirepb.TaskOutcome_TASK_OUTCOME_DONE
+	failed  = wirepb.TaskOutcome_TASK_OUTCOME_FAILED
+)
+
+// withdrawals are the ways to make a task that has not arrived not run.
+var withdrawals = map[string]struct {
+	ask    func(b *bench, task, attempt uint32)
+	reason Reason
+}{
+	"recall": {(*bench).recall, ReasonRecalled},
+	"cancel": {(*bench).cancel, ReasonCancelled},
+	"query":  {(*bench).query, ReasonUnseen},
+}
+
+func TestWithdrawnPlacementNeverStartsAndALaterOneDoes(t *testing.T) {
+	for name, w := range withdrawals {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, testLimits())
+			w.ask(b, 3, 2)
+			b.wantUpdate(3, 2, notRun, w.reason)
+			b.start(3, 2)
+			b.wantUpdate(3, 2, notRun, w.reason)
+			b.start(3, 3)
+			started, _ := b.settle()
+			assert.DeepEqual(t, started, []uint32{3})
+		})
+	}
+}
+
+func TestQueuedTaskIsRecalledAndARunningOneIsNot(t *testing.T) {
+	b := newBench(t, testLimits())
+	b.start(1, 1)
+	b.settle()
+	b.start(2, 1)
+	b.wantUpdate(2, 1, queued, ReasonNone)
+	b.recall(1, 1)
+	b.wantUpdate(1, 1, started, ReasonNone)
+	// The owner believes in a later placement: its copies must not start either.
+	b.recall(2, 4)
+	b.wantUpdate(2, 4, notRun, ReasonRecalled)
+	b.g.Ended(b.now, Ending{Key: Key{7, 1}, Result: []byte("r")})
+	b.wantUpdate(1, 1, done, ReasonNone)
+	b.start(2, 4)
+	b.wantUpdate(2, 4, notRun, ReasonRecalled)
+}
+
+func TestCancelStopsARunningTask(t *testing.T) {
+	b := newBench(t, testLimits())
+	b.start(1, 1)
+	b.settle()
+	b.cancel(1, 1)
+	b.cancel(1, 1)
+	assert.DeepEqual(t, b.g.Settle(b.now).Stops, []Key{{7, 1}})
+	b.g.Acted()
+	b.g.Ended(b.now, Ending{Key: Key{7, 1}, Kind: EndError, Reason: ReasonMinionLost})
+	b.wantUpdate(1, 1, failed, ReasonCancelled)
+}
+
+func TestDeadline(t *testing.T) {
+	b := newBench(t, testLimits())
+	b.start(1, 1)
+	b.settle()
+	b.now += 500 * time.Millisecond
+	b.start(2, 1)
+	b.settle()
+	assert.Equal(t, b.g.Wake(b.now), time.Second)
+	b.now = time.Second
+	assert.DeepEqual(t, b.g.Settle(b.now).Stops, []Key{{7, 1}})
+	b.g.Acted()
+	assert.Equal(t, b.g.Wake(b.now), 1500*time.Millisecond)
+	b.now = 1500 * time.Millisecond
+	b.wantUpdate(2, 1, notRun, ReasonDeadline)
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		reason Reason
+		set    func(b *bench)
+	}{
+		{ReasonDraining, func(b *bench) { b.g.SetDraining(true) }},
+		{ReasonLease, func(b *bench) { b.g.SetLease(false) }},
+		{ReasonMinionDown, func(b *bench) { b.g.SetMinionDown(true) }},
+		{ReasonUnknownService, func(b *bench) { b.g.SetServices([]string{"crop"}) }},
+		{ReasonQueueFull, func(b *bench) { b.g.SetLimits(Limits{ResultBytes: 1, QueueBytes: 1}) }},
+		{ReasonQueueFull, func(b *bench) { b.g.SetLimits(Limits{ResultBytes: 1, QueueTasks: 1}) }},
+		{ReasonResultsFull, func(b *bench) { b.g.SetLimits(Limits{Slots: 1, Connections: 1}) }},
+	}
+	for _, c := range cases {
+		t.Run(c.reason.String(), func(t *testing.T) {
+			b := newBench(t, testLimits())
+			c.set(b)
+			b.settle()
+			b.start(1, 1)
+			b.wantUpdate(1, 1, notRun, c.reason)
+			assert.Assert(t, b.g.Safe())
+		})
+	}
+}
+
+func TestClosingEmptiesTheQueueAndTakesSlotsBack(t *testing.T) {
+	b := newBench(t, testLimits())
+	b.start(1, 1)
+	b.start(2, 1)
+	b.settle()
+	b.g.SetDraining(true)
+	actions := b.g.Settle(b.now)
+	assert.Equal(t, actions.Sends[0].Envelope.GetSlotGrant().GetSlots(), uint32(0))
+	assert.Equal(t, actions.Sends[1].Envelope.GetDraining().GetIncarnation(), uint64(9))
+	assert.Equal(t, actions.Sends[2].Envelope.GetTaskUpdate().GetOutcome(), notRun)
+	assert.Assert(t, b.g.Busy() && !b.g.Safe())
+}
+
+func TestNewOwnerLearnsAllThatWasSeen(t *testing.T) {
+	b := newBench(t, testLimits())
+	b.start(1, 1)
+	b.settle()
+	b.g.Ended(b.now, Ending{Key: Key{7, 1}, Result: []byte("r"), Run: time.Millisecond})
+	b.start(2, 1)
+	b.start(3, 1)
+	b.query(4, 1)
+	b.settle()
+	b.g.SessionUp(b.now, 2, 6)
+	b.g.Claim(b.now, 2, &wirepb.ClaimGroup{Group: testEntry, Epoch: 2})
+	_, updates := b.settle()
+	var outcomes []wirepb.TaskOutcome
+	for _, u := range updates {
+		outcomes = append(outcomes, u.Outcome)
+		assert.Equal(t, u.Epoch, uint64(2))
+	}
+	assert.DeepEqual(t, outcomes, []wirepb.TaskOutcome{done, started, queued, notRun})
+	assert.Equal(t, string(updates[0].Result), "r")
+	b.start(5, 1)
+	actions := b.g.Settle(b.now)
+	assert.Assert(t, len(actions.Starts) == 0)
+	assert.Assert(t, actions.Sends[0].Envelope.GetClaimReport().GetFenced())
+}
+
+func TestForgottenJobIsGone(t *testing.T) {
+	forms := map[string]*wirepb.ForgetJobs{
+		"by number": {Group: testEntry, Epoch: 1, Jobs: []uint64{7}},
+		"by floor":  {Group: testEntry, Epoch: 1, OpenFrom: 8},
+	}
+	for name, m := range forms {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, testLimits())
+			b.start(1, 1)
+			b.start(2, 1)
+			b.settle()
+			b.g.Forget(b.now, testSession, m)
+			assert.Assert(t, b.g.Busy())
+			b.g.Ended(b.now, Ending{Key: Key{7, 1}, Result: []byte("r")})
+			assert.Assert(t, b.g.Safe() && !b.g.Busy())
+			b.start(3, 1)
+			b.query(1, 1)
+			started, updates := b.settle()
+			assert.Assert(t, len(started)+len(updates) == 0)
+			assert.Equal(t, len(b.g.jobs), 0)
+		})
+	}
+}
+
+func TestGroupThatIsOverStartsNothing(t *testing.T) {
+	b := newBench(t, testLimits())
+	b.start(1, 1)
+	b.settle()
+	b.g.Configure(b.now, 100, nil)
+	b.start(2, 1)
+	started, updates := b.settle()
+	assert.Assert(t, len(started)+len(updates) == 0)
+	b.g.Ended(b.now, Ending{Key: Key{7, 1}, Result: []byte("r")})
+	assert.Assert(t, b.g.Safe())
+}
