Add the core of the replicated log and its log files

The role follows charts/member.yaml.

TestFaults drives three to seven cores through losses, repeats, reorderings, crashes between write and sync, lost disks, cuts and membership changes, and checks one leader a term, committed entries and linearizable compare-and-set.

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -2,3 +2,8 @@
 package charts
 
 import _ "embed"
+
+// Member is the chart of a quorum member's role.
+//
+//go:embed member.yaml
+var Member []byte
--- /dev/null
+++ b/internal/quorum/membership.go
@@ -0,0 +1,140 @@
+package quorum
+
+import (
+	"slices"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// Member is one member of a configuration.
+type Member struct {
+	ID      uint64
+	Learner bool
+	// Context is opaque to the core.
+	Context []byte
+}
+
+// Membership is a configuration. While Outgoing is not empty, decisions need
+// a majority of Voters and one of Outgoing.
+type Membership struct {
+	Voters, Outgoing, Learners []Member
+}
+
+// Joint tells whether the configuration is an intermediate one.
+func (m Membership) Joint() bool { return len(m.Outgoing) > 0 }
+
+// IsVoter tells whether a member has a vote.
+func (m Membership) IsVoter(id uint64) bool {
+	return contains(m.Voters, id) || contains(m.Outgoing, id)
+}
+
+// IsLearner tells whether a member is a learner and nothing else.
+func (m Membership) IsLearner(id uint64) bool { return contains(m.Learners, id) }
+
+// Members returns every member once, by ID.
+func (m Membership) Members() []Member {
+	all := slices.Concat(m.Voters, m.Outgoing, m.Learners)
+	slices.SortStableFunc(all, func(a, b Member) int { return compare(a.ID, b.ID) })
+	return slices.CompactFunc(all, func(a, b Member) bool { return a.ID == b.ID })
+}
+
+// find returns the member with an ID.
+func (m Membership) find(id uint64) (Member, bool) {
+	all := m.Members()
+	i := slices.IndexFunc(all, func(x Member) bool { return x.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return all[i], true
+}
+
+// quorum tells whether the members for which yes holds form a quorum.
+func (m Membership) quorum(yes func(id uint64) bool) bool {
+	return majority(m.Voters, yes) && (!m.Joint() || majority(m.Outgoing, yes))
+}
+
+// matched returns the largest index that a quorum has reached.
+func (m Membership) matched(match func(id uint64) uint64) uint64 {
+	index := majorityMatch(m.Voters, match)
+	if m.Joint() {
+		index = min(index, majorityMatch(m.Outgoing, match))
+	}
+	return index
+}
+
+func majority(voters []Member, yes func(id uint64) bool) bool {
+	n := 0
+	for _, v := range voters {
+		if yes(v.ID) {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
+// majorityMatch returns the largest index that a majority has reached; 0
+// without voters, so that an empty configuration decides nothing.
+func majorityMatch(voters []Member, match func(id uint64) uint64) uint64 {
+	if len(voters) == 0 {
+		return 0
+	}
+	var space [8]uint64
+	all := space[:0]
+	for _, v := range voters {
+		all = append(all, match(v.ID))
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
+func contains(members []Member, id uint64) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id })
+}
+
+func without(members []Member, id uint64) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.ID == id })
+}
+
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Proto returns the configuration as a message.
+func (m Membership) Proto() *wirepb.QuorumMembership {
+	return &wirepb.QuorumMembership{
+		Voters:   toProto(m.Voters),
+		Outgoing: toProto(m.Outgoing),
+		Learners: toProto(m.Learners),
+	}
+}
+
+// MembershipOf reads a configuration from its message.
+func MembershipOf(p *wirepb.QuorumMembership) Membership {
+	return Membership{
+		Voters:   fromProto(p.GetVoters(), false),
+		Outgoing: fromProto(p.GetOutgoing(), false),
+		Learners: fromProto(p.GetLearners(), true),
+	}
+}
+
+func toProto(members []Member) []*wirepb.QuorumMember {
+	var out []*wirepb.QuorumMember
+	for _, m := range members {
+		out = append(out, &wirepb.QuorumMember{Id: m.ID, Context: m.Context})
+	}
+	return out
+}
+
+func fromProto(members []*wirepb.QuorumMember, learner bool) []Member {
+	var out []Member
+	for _, m := range members {
+		out = append(out, Member{ID: m.Id, Learner: learner, Context: m.Context})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/quorum/property_test.go
@@ -0,0 +1,431 @@
+package quorum
+
+import (
+	"math"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+)
+
+// Limits of one generated run.
+const (
+	maxSteps   = 400
+	maxMembers = 7
+	registers  = 2
+)
+
+// operation is what a caller did to one register.
+type operation struct {
+	read      bool
+	cmd       command
+	value     uint64
+	swapped   bool
+	called    int64
+	returned  int64
+	proposed  Span
+	lost      bool
+	host      uint64
+	readIndex uint64
+}
+
+// chaos drives a cluster by generated events and records the operations.
+type chaos struct {
+	*cluster
+	rt   *rapid.T
+	now  int64
+	ops  []*operation
+	open map[uint64]*operation
+}
+
+func newChaos(rt *rapid.T) *chaos {
+	x := &chaos{rt: rt, open: map[uint64]*operation{}}
+	x.cluster = newCluster(rt, 3)
+	x.autoSync = rapid.Bool().Draw(rt, "autoSync")
+	for _, h := range x.hosts {
+		x.watch(h)
+	}
+	return x
+}
+
+// watch completes the operations that end at a host.
+func (x *chaos) watch(h *host) {
+	h.ready = func(r Ready) {
+		for _, s := range r.Lost {
+			x.lose(h, s)
+		}
+		for _, rd := range r.Reads {
+			x.open[rd.Token].readIndex = rd.Index
+		}
+		for _, token := range r.LostReads {
+			delete(x.open, token)
+		}
+		x.finish(h)
+	}
+}
+
+func (x *chaos) lose(h *host, s Span) {
+	for op, o := range x.open {
+		if o.host == h.id && !o.read && o.proposed.Term == s.Term && o.proposed.First >= s.First && o.proposed.First <= s.Last {
+			o.lost = true
+			delete(x.open, op)
+		}
+	}
+}
+
+func (x *chaos) finish(h *host) {
+	for id, o := range x.open {
+		if o.host != h.id {
+			continue
+		}
+		if o.read {
+			if o.readIndex == 0 || h.app.applied < o.readIndex {
+				continue
+			}
+			o.value = h.app.registers[o.cmd.key]
+		} else {
+			swapped, done := h.app.outcomes[id]
+			if !done {
+				continue
+			}
+			o.swapped = swapped
+		}
+		o.returned = x.now
+		delete(x.open, id)
+	}
+}
+
+// forget leaves the operations at a host without an answer.
+func (x *chaos) forget(h *host) {
+	for id, o := range x.open {
+		if o.host == h.id {
+			delete(x.open, id)
+		}
+	}
+}
+
+func (x *chaos) pick(name string) *host {
+	return x.hosts[rapid.SampledFrom(x.ids).Draw(x.rt, name)]
+}
+
+func (x *chaos) step() {
+	x.now++
+	switch rapid.IntRange(0, 99).Draw(x.rt, "event") {
+	case 0, 1:
+		x.crashOne()
+	case 2, 3, 4:
+		x.restartAll()
+	case 5:
+		x.cutOne()
+	case 6, 7:
+		x.cut = func(uint64, uint64) bool { return false }
+	case 8, 9:
+		if h := x.pick("snapshot"); h.core != nil && h.app.applied > 0 {
+			x.snapshot(h, rapid.Uint64Range(0, 5).Draw(x.rt, "retain"))
+		}
+	case 10, 11, 12, 13:
+		x.change()
+	case 14:
+		x.loseDisk()
+	case 15, 16, 17, 18, 19, 20, 21:
+		x.read()
+	case 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33:
+		x.swap()
+	case 34, 35, 36, 37, 38, 39, 40, 41:
+		x.dropOrRepeat()
+	case 42:
+		if h := x.leader(); h != nil {
+			h.core.TransferLeader(0)
+			x.drain(h)
+		}
+	case 43, 44, 45, 46, 47, 48, 49, 50:
+		x.tickSome()
+	case 51, 52, 53, 54, 55:
+		x.calm()
+	default:
+		x.progress()
+	}
+}
+
+func (x *chaos) tickSome() {
+	h := x.pick("tick")
+	for range rapid.IntRange(1, testElectionTicks).Draw(x.rt, "ticks") {
+		if h.core != nil {
+			h.core.Tick()
+			x.drain(h)
+		}
+	}
+}
+
+// calm lets the members work for a while without faults in between.
+func (x *chaos) calm() {
+	for range rapid.IntRange(1, 3*testElectionTicks).Draw(x.rt, "calm") {
+		x.now++
+		for _, id := range x.ids {
+			if h := x.hosts[id]; h.core != nil {
+				h.core.Tick()
+				x.drain(h)
+				x.sync(h, len(h.unsynced))
+				x.drain(h)
+			}
+		}
+		x.round()
+	}
+}
+
+func (x *chaos) progress() {
+	if len(x.mail) > 0 {
+		x.deliver(rapid.IntRange(0, min(len(x.mail)-1, 5)).Draw(x.rt, "letter"))
+	}
+	if h := x.pick("sync"); h.core != nil && len(h.unsynced) > 0 {
+		x.sync(h, rapid.IntRange(1, len(h.unsynced)).Draw(x.rt, "synced"))
+		x.drain(h)
+	}
+}
+
+func (x *chaos) dropOrRepeat() {
+	if len(x.mail) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(x.mail)-1).Draw(x.rt, "letter")
+	if rapid.Bool().Draw(x.rt, "repeat") {
+		x.mail = append(x.mail, x.mail[i])
+		return
+	}
+	x.mail = append(x.mail[:i:i], x.mail[i+1:]...)
+}
+
+func (x *chaos) crashOne() {
+	h := x.pick("crash")
+	if h.core != nil {
+		x.crash(h, rapid.IntRange(0, len(h.unsynced)).Draw(x.rt, "kept"))
+		x.forget(h)
+	}
+}
+
+func (x *chaos) restartAll() {
+	for _, id := range x.ids {
+		if h := x.hosts[id]; h.core == nil {
+			x.start(h)
+		}
+	}
+}
+
+func (x *chaos) cutOne() {
+	away := x.pick("cut").id
+	oneWay := rapid.Bool().Draw(x.rt, "oneWay")
+	x.cut = func(from, to uint64) bool { return from == away || (to == away && !oneWay) }
+}
+
+// loseDisk replaces a host for good by an empty one with a new ID.
+func (x *chaos) loseDisk() {
+	lead := x.leader()
+	if lead == nil || len(x.ids) >= maxMembers {
+		return
+	}
+	h := x.pick("lost")
+	if lead.core.membership().IsVoter(h.id) && !x.spare(lead, h.id) {
+		return
+	}
+	x.forget(h)
+	delete(x.hosts, h.id)
+	x.ids = without64(x.ids, h.id)
+	x.enlist(lead)
+}
+
+// spare tells whether the voters that keep their disks are still a quorum
+// wherever the configuration in force may stand.
+func (x *chaos) spare(lead *host, lost uint64) bool {
+	kept := func(id uint64) bool { return id != lost && x.hosts[id] != nil }
+	for _, h := range x.hosts {
+		if h.core == nil {
+			return false
+		}
+		for _, m := range h.core.configs {
+			if !m.membership.quorum(kept) && len(m.membership.Voters) > 0 {
+				return false
+			}
+		}
+	}
+	return lead.core.membership().quorum(kept)
+}
+
+func without64(ids []uint64, id uint64) []uint64 {
+	var out []uint64
+	for _, x := range ids {
+		if x != id {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// enlist starts an empty host and proposes it as a learner.
+func (x *chaos) enlist(lead *host) {
+	id := uint64(100 + x.now)
+	if lead.core == nil {
+		return
+	}
+	if _, err := lead.core.ProposeChange(Change{Kind: AddLearner, Member: Member{ID: id}}); err != nil {
+		return
+	}
+	h := x.add(id, Membership{})
+	x.watch(h)
+	x.drain(lead)
+}
+
+func (x *chaos) change() {
+	lead := x.leader()
+	if lead == nil {
+		return
+	}
+	if len(x.ids) < 5 && rapid.Bool().Draw(x.rt, "add") {
+		x.enlist(lead)
+		return
+	}
+	m := lead.core.membership()
+	target := x.pick("target").id
+	ch := Change{Kind: Remove, Member: Member{ID: target}}
+	if m.IsLearner(target) {
+		ch.Kind = Promote
+		if rapid.Bool().Draw(x.rt, "replace") {
+			ch.Replace = rapid.SampledFrom(m.Voters).Draw(x.rt, "replaced").ID
+		}
+	} else if len(m.Voters) < 3 {
+		return
+	}
+	// Refusals are part of the contract.
+	_, _ = lead.core.ProposeChange(ch)
+	x.drain(lead)
+}
+
+func (x *chaos) swap() {
+	h := x.pick("caller")
+	if h.core == nil {
+		return
+	}
+	cmd := command{op: uint64(len(x.ops) + 1), key: x.register(), expected: x.small(), value: x.small()}
+	index, term, err := h.core.Propose(cmd.encode())
+	if err != nil {
+		return
+	}
+	o := &operation{cmd: cmd, called: x.now, host: h.id, proposed: Span{First: index, Last: index, Term: term}}
+	x.ops = append(x.ops, o)
+	x.open[cmd.op] = o
+	x.drain(h)
+}
+
+func (x *chaos) read() {
+	h := x.pick("caller")
+	if h.core == nil {
+		return
+	}
+	id := uint64(len(x.ops) + 1)
+	if err := h.core.ConfirmRead(id); err != nil {
+		return
+	}
+	o := &operation{read: true, cmd: command{op: id, key: x.register()}, called: x.now, host: h.id}
+	x.ops = append(x.ops, o)
+	x.open[id] = o
+	x.drain(h)
+}
+
+func (x *chaos) register() uint64 { return rapid.Uint64Range(1, registers).Draw(x.rt, "register") }
+
+func (x *chaos) small() uint64 { return rapid.Uint64Range(0, 3).Draw(x.rt, "value") }
+
+// history returns the operations as the checker takes them. A command without
+// an answer may take effect at any later time; a read without one tells
+// nothing; a lost command had no effect.
+func (x *chaos) history() []porcupine.Operation {
+	var out []porcupine.Operation
+	for _, o := range x.ops {
+		switch {
+		case o.lost:
+			for _, h := range x.hosts {
+				if _, done := h.app.outcomes[o.cmd.op]; done {
+					x.rt.Fatalf("command %d took effect after it was lost", o.cmd.op)
+				}
+			}
+			continue
+		case o.returned == 0 && o.read:
+			continue
+		case o.returned == 0:
+			o.returned = math.MaxInt64
+		}
+		out = append(out, porcupine.Operation{Input: o, Call: o.called, Output: o, Return: o.returned})
+	}
+	return out
+}
+
+// registerModel is one register under reads and compare-and-set.
+var registerModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make([][]porcupine.Operation, registers)
+		for _, op := range history {
+			i := op.Input.(*operation).cmd.key - 1
+			parts[i] = append(parts[i], op)
+		}
+		return parts
+	},
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, _ any) (bool, any) {
+		now, o := state.(uint64), input.(*operation)
+		if o.read {
+			return o.value == now, now
+		}
+		swapped := now == o.cmd.expected
+		if o.returned != math.MaxInt64 && swapped != o.swapped {
+			return false, now
+		}
+		if swapped {
+			return true, o.cmd.value
+		}
+		return true, now
+	},
+}
+
+// recover heals everything and demands that the log goes on.
+func (x *chaos) recover() {
+	x.cut = func(uint64, uint64) bool { return false }
+	x.autoSync = true
+	x.restartAll()
+	for _, id := range x.ids {
+		x.drain(x.hosts[id])
+		x.sync(x.hosts[id], len(x.hosts[id].unsynced))
+		x.drain(x.hosts[id])
+	}
+	x.now++
+	x.tick(30 * testElectionTicks)
+	lead := x.leader()
+	if lead == nil {
+		x.rt.Fatalf("no leader after all faults ended")
+	}
+	index := x.propose(lead, []byte("end"))
+	x.tick(2 * testHeartbeatTicks)
+	if lead.app.applied < index {
+		x.rt.Fatalf("nothing commits after all faults ended: %+v", lead.core.Status())
+	}
+	for _, m := range lead.core.membership().Members() {
+		if h := x.hosts[m.ID]; h != nil && h.app.applied < index {
+			x.rt.Fatalf("member %d is behind after all faults ended: %+v", m.ID, lead.core.Status())
+		}
+	}
+}
+
+// TestFaults holds under losses, repeats, reorderings, crashes between write
+// and sync, lost disks, cuts and membership changes: one leader a term, no
+// committed entry changed, compare-and-set linearizable, and progress after.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		x := newChaos(rt)
+		x.calm()
+		for range rapid.IntRange(1, maxSteps).Draw(rt, "steps") {
+			x.step()
+		}
+		x.recover()
+		if !porcupine.CheckOperations(registerModel, x.history()) {
+			rt.Fatalf("history is not linearizable")
+		}
+	})
+}
