--- a/charts/charts.go
+++ b/charts/charts.go
@@ -12,3 +12,8 @@
 //
 //go:embed job.yaml
 var Job []byte
+
+// Member is the chart of a quorum member's role.
+//
+//go:embed member.yaml
+var Member []byte
