--- a/charts/charts.go
+++ b/charts/charts.go
@@ -2,3 +2,8 @@
 package charts
 
 import _ "embed"
+
+// LedgerJob is the chart of a job in the ledger.
+//
+//go:embed ledger_job.yaml
+var LedgerJob []byte
--- /dev/null
+++ b/internal/ledger/expire.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"bytes"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/statechart"
+)
+
+const (
+	// digestPrefix is how much of a digest is remembered of an expired job.
+	digestPrefix = 16
+	// defaultExpireLimit bounds one ExpireJobs record without a limit.
+	defaultExpireLimit = 1000
+)
+
+// expiredJob is what is remembered of a job whose answer was dropped.
+type expiredJob struct {
+	key     submissionKey
+	digest  [digestPrefix]byte
+	number  uint64
+	endedMs int64
+	state   statechart.State // the state it ended in
+}
+
+func prefixOf(digest []byte) (p [digestPrefix]byte) {
+	copy(p[:], digest)
+	return p
+}
+
+// expire drops answers, and what is remembered, of jobs that ended long ago.
+func (t *jobTable) expire(r *wirepb.ExpireJobs) {
+	limit := int(r.Limit)
+	if limit == 0 {
+		limit = defaultExpireLimit
+	}
+	t.dropAnswers(r.EndedBeforeUnixMs, limit)
+	t.forget(r.ForgetBeforeUnixMs, limit)
+	t.compactRows()
+}
+
+func (t *jobTable) dropAnswers(before int64, limit int) {
+	for ; limit > 0 && len(t.ended) > 0; limit-- {
+		i := t.row(t.ended[0])
+		j := t.rows[i].job
+		if j.endedMs >= before || !jobChart.Can(j.state, eventExpire) {
+			return
+		}
+		t.ended = t.ended[1:]
+		t.rows[i].job = nil
+		t.empty++
+		key := keyOf(j.team.Value(), j.submission)
+		delete(t.byKey, key)
+		t.remember(expiredJob{key: key, digest: prefixOf(j.digest), number: j.number, endedMs: j.endedMs, state: j.state})
+	}
+}
+
+func (t *jobTable) remember(e expiredJob) {
+	t.expiredAt[e.key] = t.expiredBase + uint64(len(t.expired))
+	t.expired = append(t.expired, e)
+}
+
+func (t *jobTable) forget(before int64, limit int) {
+	for ; limit > 0 && len(t.expired) > 0 && t.expired[0].endedMs < before; limit-- {
+		delete(t.expiredAt, t.expired[0].key)
+		t.expired = t.expired[1:]
+		t.expiredBase++
+	}
+}
+
+// compactRows drops the rows without a job when they are the majority.
+func (t *jobTable) compactRows() {
+	if t.empty <= len(t.rows)/2 {
+		return
+	}
+	rows := make([]jobRow, 0, len(t.rows)-t.empty)
+	for _, r := range t.rows {
+		if r.job != nil {
+			rows = append(rows, r)
+		}
+	}
+	t.rows = rows
+	t.empty = 0
+}
+
+func (t *jobTable) expiredJob(key submissionKey) *expiredJob {
+	at, ok := t.expiredAt[key]
+	if !ok {
+		return nil
+	}
+	return &t.expired[at-t.expiredBase]
+}
+
+// accepted answers a submission whose answer is no longer kept.
+func (e *expiredJob) accepted(r *wirepb.AcceptRequest) *wirepb.AcceptResponse {
+	outcome := wirepb.AcceptOutcome_ACCEPT_OUTCOME_EXPIRED
+	if e.digest != prefixOf(r.Digest) {
+		outcome = wirepb.AcceptOutcome_ACCEPT_OUTCOME_CONFLICT
+	}
+	return &wirepb.AcceptResponse{Outcome: outcome, Job: e.record(r.Spec.Team, r.Spec.Submission)}
+}
+
+func (e *expiredJob) record(team, submission string) *wirepb.JobRecord {
+	return &wirepb.JobRecord{
+		Job:           e.number,
+		Spec:          &wirepb.JobSpec{Team: team, Submission: submission},
+		Digest:        bytes.Clone(e.digest[:]),
+		State:         wireState(e.state),
+		EndedUnixMs:   e.endedMs,
+		AnswerExpired: true,
+	}
+}
--- /dev/null
+++ b/internal/ledger/jobs.go
@@ -0,0 +1,216 @@
+package ledger
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"unique"
+
+	"google.golang.org/protobuf/proto"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/statechart"
+)
+
+// accept makes a submission durable or finds the job it already has.
+func (l *Ledger) accept(index uint64, r *wirepb.AcceptRequest) Result {
+	if reason := checkAccept(r); reason != "" {
+		return invalid(reason)
+	}
+	spec := r.Spec
+	key := keyOf(spec.Team, spec.Submission)
+	if number, known := l.jobs.byKey[key]; known {
+		return Result{Accept: existing(l.jobs.get(number), r)}
+	}
+	if past := l.jobs.expiredJob(key); past != nil {
+		return Result{Accept: past.accepted(r)}
+	}
+	if !l.procs.live(r.Owner) {
+		return fenced(ReasonOwnerEnded)
+	}
+	j := l.newJob(index, r)
+	l.jobs.insert(j)
+	return Result{Accept: &wirepb.AcceptResponse{Outcome: wirepb.AcceptOutcome_ACCEPT_OUTCOME_NEW, Job: j.record()}}
+}
+
+// checkAccept returns the reason why a request can never succeed, or "".
+func checkAccept(r *wirepb.AcceptRequest) string {
+	switch {
+	case r.GetSpec().GetSubmission() == "":
+		return ReasonSubmissionMissing
+	case len(r.Spec.Tasks) == 0:
+		return ReasonNoTasks
+	case len(r.Digest) == 0:
+		return ReasonDigestMissing
+	}
+	return ""
+}
+
+// existing answers a submission that has a job.
+func existing(j *job, r *wirepb.AcceptRequest) *wirepb.AcceptResponse {
+	outcome := wirepb.AcceptOutcome_ACCEPT_OUTCOME_EXISTING
+	switch {
+	case !bytes.Equal(j.digest, r.Digest):
+		outcome = wirepb.AcceptOutcome_ACCEPT_OUTCOME_CONFLICT
+	case j.state == stateOpen && j.group == r.Owner && j.token == r.Token:
+		outcome = wirepb.AcceptOutcome_ACCEPT_OUTCOME_NEW
+	}
+	return &wirepb.AcceptResponse{Outcome: outcome, Job: j.record()}
+}
+
+func (l *Ledger) newJob(index uint64, r *wirepb.AcceptRequest) *job {
+	return &job{
+		number:     index,
+		group:      r.Owner,
+		token:      r.Token,
+		team:       unique.Make(r.Spec.Team),
+		submission: r.Spec.Submission,
+		service:    unique.Make(r.Spec.Service),
+		digest:     r.Digest,
+		timeoutMs:  r.Spec.TimeoutMs,
+		unrepeated: r.Spec.Unrepeatable,
+		state:      jobChart.Initial(),
+		tasks:      r.Spec.Tasks,
+		acceptedMs: l.clock,
+	}
+}
+
+// complete records the ends of jobs of one group.
+func (l *Ledger) complete(index uint64, r *wirepb.CompleteRequest) Result {
+	ends := slices.Clone(r.Completions)
+	slices.SortStableFunc(ends, func(a, b *wirepb.JobCompletion) int { return cmp.Compare(a.Job, b.Job) })
+	if reason := l.checkEnds(r.Group, ends); reason != "" {
+		return invalid(reason)
+	}
+	if l.resent(r) {
+		return Result{Complete: &wirepb.CompleteResponse{}}
+	}
+	g := l.procs.groups[r.Group]
+	if g == nil || g.Epoch != r.Epoch || g.Owner != r.Owner {
+		return Result{Complete: &wirepb.CompleteResponse{Fenced: true}}
+	}
+	result := Result{Complete: &wirepb.CompleteResponse{}}
+	for _, end := range ends {
+		if l.jobs.end(end, index, r.Epoch, l.clock) {
+			result.Ended = append(result.Ended, end.Job)
+		}
+	}
+	if len(result.Ended) > 0 {
+		l.prune(index)
+	}
+	return result
+}
+
+// checkEnds returns the reason why a batch can never be recorded, or "".
+func (l *Ledger) checkEnds(group uint64, ends []*wirepb.JobCompletion) string {
+	for _, end := range ends {
+		j := l.jobs.get(end.Job)
+		switch {
+		case end.Answer == nil:
+			return ReasonAnswerMissing
+		case j == nil:
+		case j.group != group:
+			return ReasonJobOfOtherGroup
+		case j.state == stateOpen && end.Answer.Complete && len(end.Answer.Results) != len(j.tasks):
+			return ReasonResultCount
+		}
+	}
+	return ""
+}
+
+// resent tells that a batch was recorded before: each job has ended under the
+// epoch of the batch.
+func (l *Ledger) resent(r *wirepb.CompleteRequest) bool {
+	for _, end := range r.Completions {
+		j := l.jobs.get(end.Job)
+		if j == nil || j.state == stateOpen || j.endEpoch != r.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// end records the end of one job; false when it is not open.
+func (t *jobTable) end(end *wirepb.JobCompletion, index, epoch uint64, clock int64) bool {
+	i := t.row(end.Job)
+	if i < 0 {
+		return false
+	}
+	event := eventFail
+	if end.Answer.Complete {
+		event = eventComplete
+	}
+	state, err := jobChart.Next(t.rows[i].job.state, event)
+	if err != nil {
+		return false
+	}
+	j := *t.rows[i].job
+	j.state = state
+	j.tasks = nil
+	j.answer = encodeAnswer(end.Answer)
+	j.endedMs = clock
+	j.endIndex = index
+	j.endEpoch = epoch
+	t.rows[i].job = &j
+	t.ended = append(t.ended, j.number)
+	t.closeOne(j.group)
+	return true
+}
+
+// encodeAnswer encodes an answer; a failed job has no results.
+func encodeAnswer(a *wirepb.JobAnswer) []byte {
+	if !a.Complete && len(a.Results) > 0 {
+		a = proto.CloneOf(a)
+		a.Results = nil
+	}
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(a)
+	if err != nil {
+		panic(err) // decoded from the log, so it encodes
+	}
+	return encoded
+}
+
+// spec is the submission without its payloads.
+func (j *job) spec() *wirepb.JobSpec {
+	return &wirepb.JobSpec{
+		Team:         j.team.Value(),
+		Submission:   j.submission,
+		Service:      j.service.Value(),
+		Unrepeatable: j.unrepeated,
+		TimeoutMs:    j.timeoutMs,
+	}
+}
+
+// record is the job as requests see it, without payloads.
+func (j *job) record() *wirepb.JobRecord {
+	r := &wirepb.JobRecord{
+		Job:            j.number,
+		Spec:           j.spec(),
+		Digest:         j.digest,
+		Group:          j.group,
+		State:          wireState(j.state),
+		Token:          j.token,
+		AcceptedUnixMs: j.acceptedMs,
+		EndedUnixMs:    j.endedMs,
+		EndIndex:       j.endIndex,
+		EndEpoch:       j.endEpoch,
+	}
+	if j.answer != nil {
+		r.Answer = new(wirepb.JobAnswer)
+		if err := proto.Unmarshal(j.answer, r.Answer); err != nil {
+			panic(err) // encoded by encodeAnswer
+		}
+	}
+	return r
+}
+
+func wireState(s statechart.State) wirepb.JobState {
+	switch s {
+	case stateOpen:
+		return wirepb.JobState_JOB_STATE_OPEN
+	case stateComplete:
+		return wirepb.JobState_JOB_STATE_COMPLETE
+	default:
+		return wirepb.JobState_JOB_STATE_FAILED
+	}
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,291 @@
+package ledger
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"io"
+	"slices"
+	"unique"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/statechart"
+)
+
+const (
+	// SnapshotVersion is the format that Encode writes.
+	SnapshotVersion = 1
+	// maxRecordBytes bounds one record when a snapshot is read.
+	maxRecordBytes = 64 << 20
+)
+
+var (
+	// ErrSnapshotVersion is returned for a snapshot of another format.
+	ErrSnapshotVersion = errors.New("ledger: snapshot has another format version")
+	// ErrSnapshotDamaged is returned for a snapshot that is cut or not one.
+	ErrSnapshotDamaged = errors.New("ledger: snapshot damaged")
+)
+
+// Frozen is the ledger at one index; the ledger goes on changing without it.
+type Frozen struct {
+	header    *wirepb.SnapshotHeader
+	resources []*wirepb.Resource
+	applied   []*wirepb.AppliedRequest
+	rows      []jobRow
+	expired   []expiredJob
+}
+
+// Freeze copies the tables, but not the records in them.
+func (l *Ledger) Freeze() *Frozen {
+	f := &Frozen{
+		header: &wirepb.SnapshotHeader{
+			Version:     SnapshotVersion,
+			Index:       l.index,
+			ClockUnixMs: l.clock,
+			Revision:    l.config.revision,
+			Floor:       l.config.floor,
+		},
+		resources: l.config.since(0),
+		rows:      slices.Clone(l.jobs.rows),
+		expired:   l.jobs.expired,
+	}
+	for _, id := range l.requests.order {
+		f.applied = append(f.applied, l.requests.answers[id])
+	}
+	return f
+}
+
+// Index is the log index of the last record in the copy.
+func (f *Frozen) Index() uint64 { return f.header.Index }
+
+// recordWriter writes records and keeps the first error.
+type recordWriter struct {
+	w       *bufio.Writer
+	records uint64
+	err     error
+}
+
+func (w *recordWriter) write(r *wirepb.SnapshotRecord) {
+	if w.err != nil {
+		return
+	}
+	opts := protodelim.MarshalOptions{MarshalOptions: proto.MarshalOptions{Deterministic: true}}
+	_, w.err = opts.MarshalTo(w.w, r)
+	w.records++
+}
+
+// Encode writes the copy as a stream of records. The same state gives the same
+// bytes. Errors: those of w.
+func (f *Frozen) Encode(to io.Writer) error {
+	w := &recordWriter{w: bufio.NewWriterSize(to, 1<<16)}
+	w.write(&wirepb.SnapshotRecord{Body: &wirepb.SnapshotRecord_Header{Header: f.header}})
+	for _, res := range f.resources {
+		w.write(&wirepb.SnapshotRecord{Body: &wirepb.SnapshotRecord_Resource{Resource: res}})
+	}
+	for _, a := range f.applied {
+		w.write(&wirepb.SnapshotRecord{Body: &wirepb.SnapshotRecord_Applied{Applied: a}})
+	}
+	for _, e := range f.expired {
+		w.write(&wirepb.SnapshotRecord{Body: &wirepb.SnapshotRecord_Expired{Expired: e.encoded()}})
+	}
+	for _, row := range f.rows {
+		if row.job == nil {
+			continue
+		}
+		r := row.job.record()
+		r.Spec.Tasks = row.job.tasks
+		w.write(&wirepb.SnapshotRecord{Body: &wirepb.SnapshotRecord_Job{Job: r}})
+	}
+	w.write(&wirepb.SnapshotRecord{Body: &wirepb.SnapshotRecord_Trailer{
+		Trailer: &wirepb.SnapshotTrailer{Records: w.records},
+	}})
+	if w.err == nil {
+		w.err = w.w.Flush()
+	}
+	return eris.Wrap(w.err, "write snapshot")
+}
+
+func (e *expiredJob) encoded() *wirepb.ExpiredJob {
+	return &wirepb.ExpiredJob{
+		Key:         e.key[:],
+		Digest:      e.digest[:],
+		Job:         e.number,
+		State:       wireState(e.state),
+		EndedUnixMs: e.endedMs,
+	}
+}
+
+// Decode reads a snapshot. Errors: ErrSnapshotVersion, ErrSnapshotDamaged and
+// those of r, wrapped.
+func Decode(from io.Reader) (*Ledger, error) {
+	d := &decoder{r: bufio.NewReaderSize(from, 1<<16), l: New()}
+	if err := d.header(); err != nil {
+		return nil, err
+	}
+	for {
+		record, err := d.next()
+		if err != nil {
+			return nil, err
+		}
+		if t := record.GetTrailer(); t != nil {
+			if t.Records != d.records-1 {
+				return nil, eris.Wrapf(ErrSnapshotDamaged, "%d of %d records", d.records-1, t.Records)
+			}
+			return d.finish(), nil
+		}
+		if err := d.put(record); err != nil {
+			return nil, err
+		}
+	}
+}
+
+type decoder struct {
+	r       *bufio.Reader
+	l       *Ledger
+	records uint64
+	floor   uint64
+}
+
+func (d *decoder) next() (*wirepb.SnapshotRecord, error) {
+	record := new(wirepb.SnapshotRecord)
+	opts := protodelim.UnmarshalOptions{MaxSize: maxRecordBytes}
+	if err := opts.UnmarshalFrom(d.r, record); err != nil {
+		return nil, eris.Wrapf(errors.Join(ErrSnapshotDamaged, err), "record %d", d.records)
+	}
+	d.records++
+	return record, nil
+}
+
+func (d *decoder) header() error {
+	record, err := d.next()
+	if err != nil {
+		return err
+	}
+	h := record.GetHeader()
+	if h == nil {
+		return eris.Wrap(ErrSnapshotDamaged, "no header")
+	}
+	if h.Version != SnapshotVersion {
+		return eris.Wrapf(ErrSnapshotVersion, "version %d, want %d", h.Version, SnapshotVersion)
+	}
+	d.l.index = h.Index
+	d.l.clock = h.ClockUnixMs
+	d.l.config.revision = h.Revision
+	d.floor = h.Floor
+	return nil
+}
+
+func (d *decoder) put(record *wirepb.SnapshotRecord) error {
+	switch body := record.Body.(type) {
+	case *wirepb.SnapshotRecord_Resource:
+		return d.putResource(body.Resource)
+	case *wirepb.SnapshotRecord_Applied:
+		d.l.requests.add(body.Applied)
+	case *wirepb.SnapshotRecord_Expired:
+		return d.putExpired(body.Expired)
+	case *wirepb.SnapshotRecord_Job:
+		return d.putJob(body.Job)
+	default:
+		return eris.Wrapf(ErrSnapshotDamaged, "record %d is of an unknown kind", d.records-1)
+	}
+	return nil
+}
+
+func (d *decoder) putResource(res *wirepb.Resource) error {
+	revision := d.l.config.revision
+	d.l.config.put(res)
+	d.l.config.revision = revision
+	if res.Deleted {
+		return nil
+	}
+	switch res.Kind {
+	case KindInstance:
+		i := new(wirepb.Instance)
+		if err := proto.Unmarshal(res.Spec, i); err != nil {
+			return eris.Wrap(errors.Join(ErrSnapshotDamaged, err), "instance")
+		}
+		d.l.procs.instances[i.Incarnation] = i
+		d.l.procs.byToken[i.Token] = i.Incarnation
+		if i.Ended {
+			d.l.procs.ended++
+		}
+	case KindGroup:
+		g := new(wirepb.Group)
+		if err := proto.Unmarshal(res.Spec, g); err != nil {
+			return eris.Wrap(errors.Join(ErrSnapshotDamaged, err), "group")
+		}
+		d.l.procs.groups[g.Group] = g
+	}
+	return nil
+}
+
+func (d *decoder) putExpired(e *wirepb.ExpiredJob) error {
+	if len(e.Key) != keyBytes || len(e.Digest) != digestPrefix {
+		return eris.Wrap(ErrSnapshotDamaged, "expired job")
+	}
+	d.l.jobs.remember(expiredJob{
+		key:     submissionKey(e.Key),
+		digest:  prefixOf(e.Digest),
+		number:  e.Job,
+		endedMs: e.EndedUnixMs,
+		state:   chartState(e.State),
+	})
+	return nil
+}
+
+func (d *decoder) putJob(r *wirepb.JobRecord) error {
+	if r.Spec == nil {
+		return eris.Wrap(ErrSnapshotDamaged, "job without a submission")
+	}
+	j := &job{
+		number:     r.Job,
+		group:      r.Group,
+		token:      r.Token,
+		team:       unique.Make(r.Spec.Team),
+		submission: r.Spec.Submission,
+		service:    unique.Make(r.Spec.Service),
+		digest:     r.Digest,
+		timeoutMs:  r.Spec.TimeoutMs,
+		unrepeated: r.Spec.Unrepeatable,
+		state:      chartState(r.State),
+		tasks:      r.Spec.Tasks,
+		acceptedMs: r.AcceptedUnixMs,
+		endedMs:    r.EndedUnixMs,
+		endIndex:   r.EndIndex,
+		endEpoch:   r.EndEpoch,
+	}
+	if r.Answer != nil {
+		j.answer = encodeAnswer(r.Answer)
+	}
+	d.l.jobs.insert(j)
+	if j.state != stateOpen {
+		d.l.jobs.ended = append(d.l.jobs.ended, j.number)
+	}
+	return nil
+}
+
+// finish restores the order of ends, which the snapshot has by job number.
+func (d *decoder) finish() *Ledger {
+	d.l.config.floor = max(d.l.config.floor, d.floor)
+	t := &d.l.jobs
+	slices.SortFunc(t.ended, func(a, b uint64) int {
+		x, y := t.get(a), t.get(b)
+		return cmp.Or(cmp.Compare(x.endIndex, y.endIndex), cmp.Compare(a, b))
+	})
+	return d.l
+}
+
+func chartState(s wirepb.JobState) statechart.State {
+	switch s {
+	case wirepb.JobState_JOB_STATE_OPEN:
+		return stateOpen
+	case wirepb.JobState_JOB_STATE_COMPLETE:
+		return stateComplete
+	default:
+		return stateFailed
+	}
+}
