--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -64,6 +64,8 @@
 	Job   uint64
 	Task  uint32
 	Agent uint64
+	// Key goes with the task: agents start the smallest key first.
+	Key uint64
 }
 
 // Outcome is how a task ended at an agent.
@@ -147,7 +149,7 @@
 	j.queue.team.running++
 	a.outstanding++
 	a.refresh(d)
-	return Assignment{Job: j.info.Job, Task: task, Agent: a.info.Incarnation}, true
+	return Assignment{Job: j.info.Job, Task: task, Agent: a.info.Incarnation, Key: j.key}, true
 }
 
 // Ended tells how a task ended at the agent it was sent to. run is the time at
