Commands for callers and operators, bench, stand-in minion, examples

Cause: people and scripts need to drive an entry before the roles are whole, so that the first whole path can be seen at once. Change: a client of the HTTP interface that tells a request that never left from one whose answer was lost; commands submit, get, cancel, apply, watch, drain, dump, minion, bench; settings for both users' deployments, held by a test.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,8 +29,16 @@
 
 // grammar is the program's command line.
 type grammar struct {
-	Serve    serveCommand    `cmd:"" help:"Run the roles that a settings file names."`
+	Minion   minionCommand   `cmd:"" help:"Run the stand-in minion."`
+	Bench    benchCommand    `cmd:"" help:"Load running entries and report lag, failures and messages."`
 	Check    checkCommand    `cmd:"" help:"Print every finding of a settings file; start nothing."`
+	Submit   submitCommand   `cmd:"" help:"Submit a job and wait for its answer."`
+	Get      getCommand      `cmd:"" help:"Print a job."`
+	Cancel   cancelCommand   `cmd:"" help:"Cancel a job."`
+	Apply    applyCommand    `cmd:"" help:"Write a resource."`
+	Watch    watchCommand    `cmd:"" help:"Print resources and their changes."`
+	Drain    drainCommand    `cmd:"" help:"Take an endpoint out of work, or back."`
+	Dump     dumpCommand     `cmd:"" help:"Print the state of a process."`
 	Settings settingsCommand `cmd:"" help:"Print the settings reference."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"errors"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"endivewing/api/job"
+	"endivewing/internal/apiclient"
+)
+
+// entryFlags are the flags of every command that talks to an entry.
+type entryFlags struct {
+	Entry     string `default:"http://127.0.0.1:7480" env:"ENDIVEWING_ENTRY" help:"Address of an entry."`
+	TokenFile string `env:"ENDIVEWING_TOKEN_FILE" placeholder:"FILE" help:"File with the operators' bearer token."`
+	Output    string `short:"o" enum:"json,yaml,table" default:"table" help:"Output format: json, yaml or table."`
+}
+
+// client makes the client that the flags describe.
+func (f *entryFlags) client() (*apiclient.Client, error) {
+	base := f.Entry
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	c := &apiclient.Client{Base: strings.TrimSuffix(base, "/")}
+	if f.TokenFile == "" {
+		return c, nil
+	}
+	token, err := os.ReadFile(f.TokenFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "read token")
+	}
+	c.Token = strings.TrimSpace(string(token))
+	return c, nil
+}
+
+// clientError gives an error of the interface its exit code.
+func clientError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code: clientExitCode(err), cause: err}
+}
+
+func clientExitCode(err error) int {
+	var problem *job.Error
+	switch {
+	case errors.Is(err, apiclient.ErrUnreachable):
+		return ExitUnavailable
+	case errors.Is(err, apiclient.ErrUnknown):
+		return ExitUnknown
+	case !errors.As(err, &problem):
+		return ExitFailed
+	case problem.Code == job.CodeUnknown:
+		return ExitUnknown
+	case problem.Code == job.CodeRefused || problem.Code == job.CodeUnavailable:
+		return ExitUnavailable
+	default:
+		return ExitFailed
+	}
+}
