Ledger: accept only from a live entry; property test

Cause: the property test found that an agent's incarnation was taken as the owner of a job, which left an open job without a group. Change: the owner must be a live entry.

--- a/internal/ledger/instances.go
+++ b/internal/ledger/instances.go
@@ -31,6 +31,11 @@
 	return i != nil && !i.Ended
 }
 
+// liveEntry tells that an incarnation is that of an entry and has not ended.
+func (t *processTable) liveEntry(incarnation uint64) bool {
+	return t.live(incarnation) && t.instances[incarnation].Kind == wirepb.InstanceKind_INSTANCE_KIND_ENTRY
+}
+
 // putInstance makes an instance the current one and a resource.
 func (l *Ledger) putInstance(index uint64, i *wirepb.Instance) {
 	if l.procs.live(i.Incarnation) && i.Ended {
@@ -144,7 +149,7 @@
 func (l *Ledger) heir(zone string) uint64 {
 	var candidates []*wirepb.Instance
 	for _, i := range l.procs.instances {
-		if i.Kind == wirepb.InstanceKind_INSTANCE_KIND_ENTRY && !i.Ended && !i.Draining {
+		if l.procs.liveEntry(i.Incarnation) && !i.Draining {
 			candidates = append(candidates, i)
 		}
 	}
--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -25,7 +25,7 @@
 	if past := l.jobs.expiredJob(key); past != nil {
 		return Result{Accept: past.accepted(r)}
 	}
-	if !l.procs.live(r.Owner) {
+	if !l.procs.liveEntry(r.Owner) {
 		return fenced(ReasonOwnerEnded)
 	}
 	j := l.newJob(index, r)
