--- a/api/resource/resource.go
+++ b/api/resource/resource.go
@@ -109,8 +109,11 @@
 	TasksPerSecond uint32 `json:"tasksPerSecond,omitempty"`
 	// Burst is how many tasks may be accepted at once beyond the rate.
 	Burst uint32 `json:"burst,omitempty"`
-	// MaxOpenTasks bounds the team's tasks that have not ended; 0 is no bound.
-	MaxOpenTasks uint32 `json:"maxOpenTasks,omitempty"`
+	// MaxRunning bounds the team's tasks at agents, for each entry; 0 is no
+	// bound.
+	MaxRunning uint32 `json:"maxRunning,omitempty"`
+	// MaxWaiting bounds the team's tasks that wait at one entry; 0 is no bound.
+	MaxWaiting uint32 `json:"maxWaiting,omitempty"`
 }
 
 // SettingSpec is a named value of the fleet.
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/placement"
+	"endivewing/internal/wire"
+)
+
+// assign sends waiting tasks as far as slots go.
+func (l *loop) assign() {
+	for {
+		a, ok := l.dispatch.Next(l.now)
+		if !ok {
+			return
+		}
+		if l.owner.Assign(a.Job, a.Task, a.Agent, l.now) {
+			continue
+		}
+		// The owner holds the task elsewhere, as after a takeover, or is done
+		// with it. Replace brings it back if it has to run.
+		l.dispatch.Ended(a.Agent, a.Job, a.Task, placement.NotRun, 0, l.now)
+	}
+}
+
+// sendDemands tells agents how much this entry could use.
+func (l *loop) sendDemands() {
+	for _, d := range l.dispatch.Demands(l.now) {
+		if s := l.sessions[d.Agent]; s != nil {
+			_ = s.Send(wire.LaneUrgent, demandEnvelope(d.Demand))
+		}
+	}
+}
+
+func demandEnvelope(d *wirepb.Demand) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_Demand{Demand: d}}
+}
--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -69,8 +69,14 @@
 	o.settleGroups(now)
 }
 
-// AgentGone drops an ended incarnation that control no longer lists.
+// AgentGone drops an ended incarnation that control no longer lists. A claim
+// that is not settled still counts on it.
 func (o *Owner) AgentGone(incarnation uint64) {
+	for _, g := range o.groups {
+		if !g.settled {
+			return
+		}
+	}
 	if a := o.agents[incarnation]; a != nil && a.ended {
 		delete(o.agents, incarnation)
 	}
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -144,6 +144,12 @@
 		return
 	}
 	t := &j.tasks[u.Task]
+	if t.state == taskUnseen && u.Outcome == wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN {
+		// Another agent may hold a later attempt.
+		t.attempt = max(t.attempt, u.Attempt)
+		j.touch(agent)
+		return
+	}
 	event, ok := evByOutcome[u.Outcome]
 	if !ok || !j.believes(t, agent, u) || !taskChart.Can(t.state, event) {
 		o.stats.StaleUpdates++
@@ -168,10 +174,10 @@
 		return false
 	}
 	// A start is a fact whatever placement it belongs to; the others hold for
-	// one attempt, and attempts are counted within an epoch.
+	// one attempt.
 	switch u.Outcome {
 	case wirepb.TaskOutcome_TASK_OUTCOME_QUEUED, wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN:
-		return u.Attempt == t.attempt && (t.inherited || u.Epoch == j.group.epoch)
+		return u.Attempt == t.attempt
 	}
 	return true
 }
@@ -179,7 +185,7 @@
 // adopt notes the agent at which an earlier owner placed the task.
 func (j *job) adopt(t *task, agent uint64, u *wirepb.TaskUpdate) {
 	t.agent = agent
-	t.attempt = u.Attempt
+	t.attempt = max(t.attempt, u.Attempt)
 	t.inherited = true
 	j.touch(agent)
 }
