--- a/charts/charts.go
+++ b/charts/charts.go
@@ -12,3 +12,8 @@
 //
 //go:embed job.yaml
 var Job []byte
+
+// LedgerJob is the chart of a job in the ledger.
+//
+//go:embed ledger_job.yaml
+var LedgerJob []byte
