Entry process: HTTP interface, acceptance, sessions, records, takeover

Failures are answered only when their record is durable, since until then another owner could still complete the job; whole answers leave at once. A refusal says not run only when control confirms that the submission is unknown.

--- a/api/resource/resource.go
+++ b/api/resource/resource.go
@@ -137,3 +137,22 @@
 	n, err := strconv.ParseUint(version, 10, 64)
 	return n, err == nil && FormatVersion(n) == version
 }
+
+// Members are the control processes.
+type Members struct {
+	// Leader is the ID of the leading member; 0 when there is none.
+	Leader uint64   `json:"leader"`
+	Term   uint64   `json:"term"`
+	Commit uint64   `json:"commit"`
+	Items  []Member `json:"items"`
+}
+
+// Member is one control process.
+type Member struct {
+	ID      uint64 `json:"id"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Learner members have no vote.
+	Learner bool `json:"learner"`
+}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	wirepb "endivewing/api/endivewing/v1"
@@ -65,7 +64,6 @@
 	refusing  bool
 
 	metrics metrics
-	status  atomic.Pointer[Status]
 }
 
 func newLoop(ctx context.Context, opts Options, control controlclient.Control) *loop {
--- a/internal/entry/recorder.go
+++ b/internal/entry/recorder.go
@@ -82,7 +82,11 @@
 		l.owner.Fenced(r.recorder.group)
 		return
 	case r.err != nil:
+		// Control knows better; callers follow their jobs there.
 		l.opts.Log.Error(r.err, "completions refused", "group", r.recorder.group, "jobs", len(r.request.Completions))
+		for _, c := range r.request.Completions {
+			l.Lost(c.Job)
+		}
 		return
 	}
 	jobs := make([]uint64, 0, len(r.request.Completions))
--- /dev/null
+++ b/internal/entry/resources.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	wirepb "endivewing/api/endivewing/v1"
+	apijob "endivewing/api/job"
+	"endivewing/api/resource"
+	"endivewing/internal/controlclient"
+	"endivewing/internal/entry/httpapi"
+)
+
+// List returns the resources of a kind in force at this entry. With after, it
+// waits until the kind has changed after that revision or ctx ends.
+func (p *Process) List(ctx context.Context, kind resource.Kind, after *uint64) *resource.List {
+	s := p.views.get()
+	if after != nil {
+		s = p.views.after(ctx, kind, *after)
+	}
+	list := &resource.List{ResourceVersion: resource.FormatVersion(s.view.Revision), Items: []resource.Object{}}
+	all := resourcesOf(s.view, kind)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		list.Items = append(list.Items, *p.object(s.view, all[name]))
+	}
+	return list
+}
+
+// Get returns one resource in force at this entry; nil when there is none.
+func (p *Process) Get(kind resource.Kind, name string) *resource.Object {
+	view := p.views.get().view
+	r := resourcesOf(view, kind)[name]
+	if r == nil {
+		return nil
+	}
+	return p.object(view, r)
+}
+
+func (p *Process) object(view *controlclient.View, r *wirepb.Resource) *resource.Object {
+	o := &resource.Object{
+		Kind:     resource.Kind(r.Kind),
+		Metadata: resource.Metadata{Name: r.Name, ResourceVersion: resource.FormatVersion(r.Revision)},
+		Spec:     r.Spec,
+		Status:   &resource.Status{InForce: p.follower.InForce() >= r.Revision},
+	}
+	if o.Kind == resource.KindEndpoint {
+		o.Status.Instances = instancesOf(view, r.Name)
+	}
+	return o
+}
+
+// Apply changes or deletes a resource by compare-and-set.
+func (p *Process) Apply(ctx context.Context, c httpapi.Change) (*resource.Object, error) {
+	r := &wirepb.Resource{Kind: string(c.Kind), Name: c.Name, Spec: c.Spec, Deleted: c.Delete}
+	response, err := p.control.Apply(ctx, &wirepb.ApplyRequest{
+		RequestId: c.RequestID, Resource: r, ExpectedRevision: c.Expected, AnyRevision: c.AnyVersion,
+	})
+	if err != nil {
+		return nil, applyError(err)
+	}
+	inForce := response.Resource
+	if response.Conflict {
+		return nil, &apijob.Error{
+			Code: apijob.CodeConflict, Reason: "another version is in force", Field: "metadata.resourceVersion",
+			NotRun: true, ResourceVersion: resource.FormatVersion(inForce.GetRevision()),
+		}
+	}
+	if inForce == nil {
+		inForce = r
+	}
+	return p.object(p.views.get().view, inForce), nil
+}
+
+func applyError(err error) error {
+	switch {
+	case errors.Is(err, controlclient.ErrInvalid):
+		return &apijob.Error{Code: apijob.CodeInvalid, Reason: err.Error(), NotRun: true}
+	case errors.Is(err, controlclient.ErrUnknownOutcome):
+		return &apijob.Error{
+			Code: apijob.CodeUnknown, Reason: "the change may or may not take effect; send it again with the same Request-Id",
+			RetryAfterMs: unavailableRetry.Milliseconds(),
+		}
+	}
+	e := &apijob.Error{Code: apijob.CodeUnavailable, Reason: "control can't be reached", NotRun: true}
+	e.RetryAfterMs = unavailableRetry.Milliseconds()
+	return e
+}
+
+// Instances returns the registered processes.
+func (p *Process) Instances() []resource.InstanceStatus { return instancesOf(p.views.get().view, "") }
+
+// instancesOf returns the instances of a name, or all of them for "", by
+// incarnation.
+func instancesOf(view *controlclient.View, name string) []resource.InstanceStatus {
+	list := []resource.InstanceStatus{}
+	for _, incarnation := range slices.Sorted(maps.Keys(view.Instances)) {
+		i := view.Instances[incarnation]
+		agent := i.Kind == wirepb.InstanceKind_INSTANCE_KIND_AGENT
+		if name != "" && (i.Name != name || !agent || i.Ended) {
+			continue
+		}
+		list = append(list, instanceStatus(i, agent))
+	}
+	return list
+}
+
+func instanceStatus(i *wirepb.Instance, agent bool) resource.InstanceStatus {
+	role := "entry"
+	if agent {
+		role = "agent"
+	}
+	return resource.InstanceStatus{
+		Incarnation: i.Incarnation, Role: role, Name: i.Name, Zone: i.Zone, Address: i.Address,
+		HTTPAddress: i.HttpAddress, Slots: i.Slots, Connections: i.Connections, Services: i.Services,
+		Draining: i.Draining, Ended: i.Ended, Clean: i.Clean,
+	}
+}
+
+// Members returns the control members.
+func (p *Process) Members(ctx context.Context) (*resource.Members, error) {
+	action := wirepb.MembershipAction_MEMBERSHIP_ACTION_STATUS
+	response, err := p.control.Membership(ctx, &wirepb.MembershipRequest{Action: action})
+	if err != nil {
+		return nil, readError(err)
+	}
+	members := &resource.Members{Leader: response.Leader, Term: response.Term, Commit: response.Commit, Items: []resource.Member{}}
+	for _, m := range response.Members {
+		members.Items = append(members.Items, resource.Member{
+			ID: m.Id, Name: m.Name, Address: m.Address, Zone: m.Zone, Learner: m.Learner,
+		})
+	}
+	return members, nil
+}
--- /dev/null
+++ b/internal/owner/status.go
@@ -0,0 +1,79 @@
+package owner
+
+// Status is the state of an owner for the dump.
+type Status struct {
+	Stats  Stats         `json:"stats"`
+	Agents []AgentStatus `json:"agents"`
+	Groups []GroupStatus `json:"groups"`
+	// Jobs are the jobs with the smallest numbers; Held counts all.
+	Jobs []JobStatus `json:"jobs"`
+	Held int         `json:"held"`
+}
+
+// AgentStatus is one agent incarnation.
+type AgentStatus struct {
+	Incarnation uint64 `json:"incarnation"`
+	Up          bool   `json:"up"`
+	Ended       bool   `json:"ended"`
+	Clean       bool   `json:"clean"`
+}
+
+// GroupStatus is one group in the owner's hands.
+type GroupStatus struct {
+	Group   uint64 `json:"group"`
+	Epoch   uint64 `json:"epoch"`
+	Loaded  bool   `json:"loaded"`
+	Settled bool   `json:"settled"`
+	// Answered counts the agents that have answered the claim.
+	Answered int    `json:"answered"`
+	Floor    uint64 `json:"floor"`
+}
+
+// JobStatus is one job.
+type JobStatus struct {
+	Job      uint64 `json:"job"`
+	Group    uint64 `json:"group"`
+	State    string `json:"state"`
+	Held     int    `json:"tasksHeld"`
+	Doubtful int    `json:"tasksDoubtful"`
+	Done     int    `json:"tasksDone"`
+	Recorded bool   `json:"recorded"`
+	// Tasks counts the tasks by the state that their chart names.
+	Tasks map[string]int `json:"tasks"`
+}
+
+// maxStatusJobs bounds the jobs of a dump.
+const maxStatusJobs = 100
+
+// Status returns a copy of the present state.
+func (o *Owner) Status() Status {
+	s := Status{Stats: o.stats, Held: len(o.jobs)}
+	for _, a := range o.sortedAgents() {
+		s.Agents = append(s.Agents, AgentStatus{Incarnation: a.incarnation, Up: a.up, Ended: a.ended, Clean: a.clean})
+	}
+	for _, g := range o.sortedGroups() {
+		s.Groups = append(s.Groups, GroupStatus{
+			Group: g.id, Epoch: g.epoch, Loaded: g.loaded, Settled: g.settled,
+			Answered: len(g.answered), Floor: o.floor(g.id),
+		})
+	}
+	for i, j := range o.sortedJobs() {
+		if i == maxStatusJobs {
+			break
+		}
+		s.Jobs = append(s.Jobs, j.status())
+	}
+	return s
+}
+
+func (j *job) status() JobStatus {
+	s := JobStatus{
+		Job: j.id, Group: j.group.id, State: jobChart.Name(j.state),
+		Held: j.held, Doubtful: j.doubtful, Done: j.done, Recorded: j.recorded,
+		Tasks: map[string]int{},
+	}
+	for i := range j.tasks {
+		s.Tasks[taskChart.Name(j.tasks[i].state)]++
+	}
+	return s
+}
