--- a/charts/charts.go
+++ b/charts/charts.go
@@ -13,6 +13,10 @@
 //go:embed job.yaml
 var Job []byte
 
+// Member is the chart of a quorum member's role.
+//
+//go:embed member.yaml
+var Member []byte
 // LedgerJob is the chart of a job in the ledger.
 //
 //go:embed ledger_job.yaml
