--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -113,6 +113,9 @@
 	positive(e.IdleTimeout, "entry.idle_timeout", add)
 	positive(e.ReadTimeout, "entry.read_timeout", add)
 	positive(e.DefaultLimit, "entry.default_timeout", add)
+	if e.DrainDelay < 0 {
+		add("entry.drain_delay", "must not be negative")
+	}
 	oneOf(e.Policy, "entry.policy", []string{"leases", "least", "two-choices", "random"}, add)
 	oneOf(e.Order, "entry.order", []string{"aged", "fewest", "arrival"}, add)
 }
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -39,6 +39,7 @@
 		IdleTimeout:  Duration(2 * time.Minute),
 		ReadTimeout:  Duration(15 * time.Second),
 		DefaultLimit: Duration(2 * time.Minute),
+		DrainDelay:   Duration(3 * time.Second),
 	}
 }
 
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -70,6 +70,7 @@
 	IdleTimeout  Duration `yaml:"idle_timeout" doc:"How long an idle HTTP connection is kept."`
 	ReadTimeout  Duration `yaml:"read_timeout" doc:"How long a request's header and body may take."`
 	DefaultLimit Duration `yaml:"default_timeout" doc:"Time of a job that names none."`
+	DrainDelay   Duration `yaml:"drain_delay" doc:"How long a stopping entry goes on accepting after its readiness fails."`
 }
 
 // Agent are the settings of the agent role.
