--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -110,3 +111,39 @@
 	var timeout net.Error
 	assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout())
 }
+
+func FuzzReadFrame(f *testing.F) {
+	m := newMeter(nil)
+	whole, _, err := appendFrame(nil, []*wirepb.Envelope{query(7)}, m)
+	assert.NilError(f, err)
+	f.Add(whole)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add(append([]byte{0, 0, 0, 3}, "abc"...))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		frame, err := readFrame(bytes.NewReader(raw))
+		assert.Assert(t, (frame == nil) != (err == nil))
+	})
+}
+
+// BenchmarkMessages is the cost of one small message in each direction of a
+// session, with many on their way at once.
+func BenchmarkMessages(b *testing.B) {
+	l, err := Listen("127.0.0.1:0", testOptions("c", echoJob))
+	assert.NilError(b, err)
+	go l.Serve()
+	defer l.Close()
+	s, err := Dial(context.Background(), l.Address(), testOptions("c", ignore))
+	assert.NilError(b, err)
+	s.Start()
+	defer s.Close()
+	b.ReportAllocs()
+	b.SetParallelism(32)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := s.Call(context.Background(), LaneTraffic, query(1)); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
