--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -8,6 +8,10 @@
 	wirepb "endivewing/api/endivewing/v1"
 )
 
+// liveHeartbeats is the number of heartbeat intervals after which a member
+// without an answer does not count as live.
+const liveHeartbeats = 3
+
 // ChangeKind is a kind of membership change.
 type ChangeKind uint8
 
@@ -121,18 +125,23 @@
 // a quorum in it is one of the old and one of the new, so that writes go on
 // while the change does.
 func (c *Core) planVoters(voters, learners []Member) (Membership, error) {
-	live := func(id uint64) bool { return id == c.cfg.ID || c.lead.peers[id].live() }
-	if !majority(voters, live) {
+	if !majority(voters, c.live) {
 		return Membership{}, ErrUnsafeChange
 	}
 	return Membership{Voters: voters, Outgoing: c.membership().Voters, Learners: learners}, nil
 }
 
+// live tells whether a member answered lately: a change that depends on one
+// that does not might never end.
+func (c *Core) live(id uint64) bool {
+	return id == c.cfg.ID || c.lead.peers[id].silent <= liveHeartbeats*c.cfg.HeartbeatTicks
+}
+
 // caughtUp tells whether a learner has all that was committed a heartbeat
 // interval ago, so that its promotion delays no write by more than that.
 func (c *Core) caughtUp(id uint64) bool {
 	p := c.lead.peers[id]
-	return p.live() && p.state == replicating && p.match >= c.lead.beatCommit
+	return c.live(id) && p.state == replicating && p.match >= c.lead.beatCommit
 }
 
 func (c *Core) appendMembership(m Membership) uint64 {
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -39,8 +39,8 @@
 	// last one is in force, committed or not.
 	configs []configAt
 
-	// elapsed counts ticks since the last sign of a leader; for a leader,
-	// since the last quorum check.
+	// elapsed counts ticks since the last sign of a leader, or since the
+	// leader's last quorum check.
 	elapsed, timeout int
 	beatElapsed      int
 	votes            map[uint64]bool
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -155,7 +155,7 @@
 	var best, match uint64
 	for _, v := range c.membership().Voters {
 		p, ok := c.lead.peers[v.ID]
-		if !ok || v.ID == c.cfg.ID || !p.live() {
+		if !ok || v.ID == c.cfg.ID || !c.live(v.ID) {
 			continue
 		}
 		if best == 0 || p.match > match {
--- a/internal/quorum/progress.go
+++ b/internal/quorum/progress.go
@@ -25,9 +25,8 @@
 	inflight []uint64
 	// probed: a probe or snapshot offer is unanswered.
 	probed bool
-	// active: it answered since the last quorum check; wasActive: between the
-	// two before.
-	active, wasActive bool
+	// silent counts ticks since its last answer.
+	silent int
 	// round is the last read round it answered.
 	round uint64
 	// beatMatch is match at the last heartbeat; see Core.beat.
@@ -36,9 +35,6 @@
 	waitTicks int
 }
 
-// live tells whether it answered lately.
-func (p *progress) live() bool { return p.active || p.wasActive }
-
 // sendable tells whether another append may be sent now.
 func (p *progress) sendable(maxInflight int) bool {
 	if p.state == replicating {
--- a/internal/quorum/read.go
+++ b/internal/quorum/read.go
@@ -55,7 +55,7 @@
 	if p == nil {
 		return
 	}
-	p.active = true
+	p.silent = 0
 	p.round = max(p.round, h.Round)
 	c.endRound()
 }
--- a/internal/quorum/ready.go
+++ b/internal/quorum/ready.go
@@ -175,7 +175,7 @@
 		p := c.lead.peers[id]
 		s.Peers = append(s.Peers, PeerStatus{
 			ID: id, State: p.state.String(), Match: p.match, Next: p.next,
-			Inflight: len(p.inflight), Active: p.live() || id == c.cfg.ID,
+			Inflight: len(p.inflight), Live: c.live(id),
 		})
 	}
 	return s
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -54,7 +54,7 @@
 	for _, m := range members {
 		p := c.lead.peers[m.ID]
 		if p == nil {
-			p = &progress{next: c.log.last() + 1, wasActive: true}
+			p = &progress{next: c.log.last() + 1}
 		}
 		peers[m.ID] = p
 	}
@@ -68,6 +68,9 @@
 
 func (c *Core) tickLeader() {
 	c.beatElapsed++
+	for _, id := range c.lead.ids {
+		c.lead.peers[id].silent++
+	}
 	if c.elapsed >= c.cfg.ElectionTicks {
 		c.elapsed = 0
 		if !c.checkQuorum() {
@@ -89,12 +92,8 @@
 // checkQuorum ends the leadership of a leader that no quorum has answered for
 // an election timeout: a newer one may have been elected by then.
 func (c *Core) checkQuorum() bool {
-	for _, id := range c.lead.ids {
-		p := c.lead.peers[id]
-		p.wasActive = p.active || id == c.cfg.ID
-		p.active = false
-	}
-	if c.membership().quorum(func(id uint64) bool { return c.lead.peers[id].wasActive }) {
+	heard := func(id uint64) bool { return id == c.cfg.ID || c.lead.peers[id].silent < c.cfg.ElectionTicks }
+	if c.membership().quorum(heard) {
 		return true
 	}
 	c.fire(member.quorumLost)
@@ -243,7 +242,7 @@
 	if p == nil {
 		return
 	}
-	p.active = true
+	p.silent = 0
 	if r.Rejected {
 		c.onReject(p, r)
 		return
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -138,8 +138,8 @@
 	State       string
 	Match, Next uint64
 	Inflight    int
-	// Active: it answered since the last quorum check.
-	Active bool
+	// Live: it answered within the last heartbeat intervals.
+	Live bool
 }
 
 // Status is a view for dumps.
