--- a/internal/ledger/instances.go
+++ b/internal/ledger/instances.go
@@ -229,3 +229,13 @@
 		l.config.remove(KindGroup, FormatNumber(group), index)
 	}
 }
+
+// recordMember ties a member's ID to its disk. The first record stays, so that
+// a member that lost its disk can't pass for its former self.
+func (l *Ledger) recordMember(index uint64, r *wirepb.RecordMember) Result {
+	name := FormatNumber(r.Id)
+	if l.config.get(KindMember, name) == nil {
+		l.config.putMessage(KindMember, name, index, &wirepb.Member{Id: r.Id, Disk: r.Disk})
+	}
+	return Result{}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,6 +19,7 @@
 	KindSetting  = "setting"
 	KindInstance = "instance"
 	KindGroup    = "group"
+	KindMember   = "member"
 )
 
 // Reasons of faults.
@@ -120,6 +121,8 @@
 		return Result{}
 	case *wirepb.Command_SetDraining:
 		return l.setDraining(index, body.SetDraining.GetIncarnation())
+	case *wirepb.Command_RecordMember:
+		return l.recordMember(index, body.RecordMember)
 	default:
 		return invalid(ReasonUnknownCommand)
 	}
--- a/internal/ledger/query.go
+++ b/internal/ledger/query.go
@@ -64,6 +64,16 @@
 // Instance returns a registered process, or nil. It must not be changed.
 func (l *Ledger) Instance(incarnation uint64) *wirepb.Instance { return l.procs.instances[incarnation] }
 
+// Disk returns the disk that a member's ID is tied to; 0 when it is to none.
+func (l *Ledger) Disk(id uint64) uint64 {
+	res := l.config.get(KindMember, FormatNumber(id))
+	m := new(wirepb.Member)
+	if res == nil || proto.Unmarshal(res.Spec, m) != nil {
+		return 0
+	}
+	return m.Disk
+}
+
 // Live returns the processes that have not ended, by incarnation.
 func (l *Ledger) Live() []*wirepb.Instance {
 	var live []*wirepb.Instance
