--- a/charts/charts.go
+++ b/charts/charts.go
@@ -17,6 +17,7 @@
 //
 //go:embed member.yaml
 var Member []byte
+
 // LedgerJob is the chart of a job in the ledger.
 //
 //go:embed ledger_job.yaml
--- a/internal/entry/httpapi/api.go
+++ b/internal/entry/httpapi/api.go
@@ -118,7 +118,12 @@
 func (a *api) state(c echo.Context) error { return c.JSONPretty(http.StatusOK, a.opts.Dump(), "  ") }
 
 func (a *api) instances(c echo.Context) error {
-	return c.JSON(http.StatusOK, map[string]any{"items": a.backend.Instances()})
+	return c.JSON(http.StatusOK, instanceList{Items: a.backend.Instances()})
+}
+
+// instanceList is the body of /v1/instances.
+type instanceList struct {
+	Items []resource.InstanceStatus `json:"items"`
 }
 
 func (a *api) members(c echo.Context) error {
