--- a/charts/charts.go
+++ b/charts/charts.go
@@ -12,3 +12,8 @@
 //
 //go:embed job.yaml
 var Job []byte
+
+// Outlier is the chart of an agent as an entry judges it.
+//
+//go:embed outlier.yaml
+var Outlier []byte
--- a/internal/placement/agents.go
+++ b/internal/placement/agents.go
@@ -4,31 +4,46 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	wirepb "endivewing/api/endivewing/v1"
 )
 
 // agent is one agent incarnation as this entry sees it.
 type agent struct {
-	info Agent
-	pool *pool
-	near bool // in the zone of this entry
-	lost bool
+	info   Agent
+	pool   *pool
+	listAt int
+	seen   uint64 // last round of SetAgents
+	near   bool   // in the zone of this entry
+	lost   bool
+	// attached: its tasks count in the pool's history.
+	attached bool
 
 	outstanding int // tasks of this entry sent and not ended
 	granted     int // slots lent by the agent
 	sequence    uint64
 	reported    int // running and queued tasks by its last report
 	sinceReport int // tasks sent since then
+	told        bool
+	toldKey     uint64 // of the last demand
+
+	window      float64 // tasks it takes from this entry without refusing
+	paused      bool    // it has just refused one
+	pausedUntil time.Time
+	health      health
 
 	place // position in the pool
 }
 
 // service is a task service and the pools of agents that offer it.
 type service struct {
-	name  string
-	pools []*pool
-	slots int // of all connected agents that take work
+	name    string
+	pools   []*pool
+	offered bool // by any agent in the set
+	slots   int  // of all agents that take work
+	runs    runTimes
+	drain   drainRate
 }
 
 // ready tells whether some agent can take a task now.
@@ -44,18 +59,14 @@
 // SetAgents replaces the set of agents. Agents that are not in it any more
 // get no new task; their outstanding tasks stay until they end.
 func (d *Dispatcher) SetAgents(agents []Agent) {
-	present := make(map[uint64]bool, len(agents))
+	d.setRound++
 	for i := range agents {
-		present[agents[i].Incarnation] = true
 		d.setAgent(&agents[i])
 	}
-	for number, a := range d.agents {
-		if present[number] {
-			continue
+	for i := len(d.list) - 1; i >= 0; i-- {
+		if a := d.list[i]; a.seen != d.setRound {
+			d.dropAgent(a)
 		}
-		a.lost = true
-		a.refresh(d)
-		delete(d.agents, number)
 	}
 	d.countSlots()
 }
@@ -63,32 +74,81 @@
 func (d *Dispatcher) setAgent(info *Agent) {
 	a := d.agents[info.Incarnation]
 	if a == nil {
-		a = &agent{}
+		a = &agent{listAt: len(d.list), window: openWindow}
 		d.agents[info.Incarnation] = a
+		d.list = append(d.list, a)
 	}
+	a.seen = d.setRound
 	if a.pool == nil || !slices.Equal(a.info.Services, info.Services) {
-		a.leave()
-		a.pool = d.pool(info.Services)
+		d.movePool(a, d.pool(info.Services))
+	}
+	services := a.info.Services
+	if !slices.Equal(services, info.Services) {
+		services = slices.Clone(info.Services)
 	}
 	a.info = *info
-	a.info.Services = slices.Clone(info.Services)
+	a.info.Services = services
 	a.near = d.cfg.Zone != "" && info.Zone == d.cfg.Zone
 	if !info.Connected {
-		a.granted = 0
-		a.sequence = 0
+		a.granted, a.sequence, a.told = 0, 0, false
 	}
 	a.refresh(d)
 }
 
-// countSlots sums the slots of each service.
+// movePool puts the agent among others; its record starts anew there.
+func (d *Dispatcher) movePool(a *agent, to *pool) {
+	a.leave()
+	if a.pool != nil {
+		a.detach()
+	}
+	a.pool = to
+	held, sentSum := a.health.held, a.health.sentSum
+	a.health = health{history: history{held: held, sentSum: sentSum}}
+	a.attached = true
+	to.stays.held += held
+	to.stays.sentSum += sentSum
+}
+
+// detach takes the agent's part out of the counts of its pool.
+func (a *agent) detach() {
+	if !a.attached {
+		return
+	}
+	a.attached = false
+	a.pool.stays.held -= a.health.held
+	a.pool.stays.sentSum -= a.health.sentSum
+	if a.health.state == trickling {
+		a.pool.ejected--
+	}
+}
+
+func (d *Dispatcher) dropAgent(a *agent) {
+	a.lost = true
+	a.refresh(d)
+	a.detach()
+	last := d.list[len(d.list)-1]
+	d.list[a.listAt] = last
+	last.listAt = a.listAt
+	d.list = d.list[:len(d.list)-1]
+	delete(d.agents, a.info.Incarnation)
+}
+
+// countSlots sums the slots of each service and the members of each pool.
 func (d *Dispatcher) countSlots() {
 	for _, s := range d.services {
-		s.slots = 0
+		s.slots, s.offered = 0, false
 	}
-	for _, a := range d.agents {
+	for _, p := range d.pools {
+		p.members = 0
+	}
+	for _, a := range d.list {
+		for _, s := range a.pool.services {
+			s.offered = true
+		}
 		if !a.takesWork() {
 			continue
 		}
+		a.pool.members++
 		for _, s := range a.pool.services {
 			s.slots += int(a.info.Slots)
 		}
@@ -104,6 +164,7 @@
 	}
 	a.lost = true
 	a.refresh(d)
+	a.detach()
 	d.countSlots()
 }
 
@@ -148,7 +209,12 @@
 }
 
 // limit is how many tasks this entry may have outstanding at an agent.
-func (d *Dispatcher) limit(a *agent) int { return d.policy.limit(a) }
+func (d *Dispatcher) limit(a *agent) int {
+	if a.paused {
+		return 0
+	}
+	return min(d.policy.limit(a), int(a.window), a.healthLimit())
+}
 
 func (d *Dispatcher) pool(services []string) *pool {
 	names := slices.Clone(services)
--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -39,6 +39,9 @@
 	// per slot.
 	earlyWindow = 64
 
+	// removedHold is how long tasks of a removed job keep their slots.
+	removedHold = 10 * time.Second
+
 	seedMix = 0x9e3779b97f4a7c15
 )
 
--- /dev/null
+++ b/internal/placement/dispatcher_test.go
@@ -0,0 +1,266 @@
+package placement
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+	os.Exit(m.Run())
+}
+
+// model is what a test knows of a dispatcher: where each task is.
+type model struct {
+	d       *Dispatcher
+	now     time.Time
+	agents  []Agent
+	teams   []Team
+	granted map[uint64]int
+	jobs    map[uint64]*modelJob
+	next    uint64
+}
+
+type modelJob struct {
+	info JobInfo
+	at   map[uint32]uint64 // task to agent, while out
+	held map[uint32]bool
+	left int // tasks that have not ended
+}
+
+func drawModel(t *rapid.T, policy string) *model {
+	m := &model{now: start, granted: map[uint64]int{}, jobs: map[uint64]*modelJob{}}
+	m.d = New(Config{
+		Seed: 1, Policy: policy, Zone: "a",
+		Order: rapid.SampledFrom([]string{OrderFirstCome, OrderFewestRemaining, OrderAged}).Draw(t, "order"),
+	})
+	for i := range rapid.IntRange(1, 6).Draw(t, "agents") {
+		m.agents = append(m.agents, Agent{
+			Incarnation: uint64(i + 1), Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
+			Slots:     uint32(rapid.IntRange(1, 4).Draw(t, "slots")),
+			Services:  rapid.SampledFrom([][]string{{"crop"}, {"crop", "proof"}, {"proof"}}).Draw(t, "services"),
+			Connected: true,
+		})
+	}
+	m.teams = []Team{{Name: "x", MaxRunning: rapid.IntRange(0, 5).Draw(t, "quota")}, {Name: "y", Weight: 3}}
+	m.d.SetTeams(m.teams)
+	m.d.SetAgents(m.agents)
+	return m
+}
+
+func (m *model) out(agent uint64, team string) (atAgent, ofTeam int) {
+	for _, j := range m.jobs {
+		for _, a := range j.at {
+			if a == agent {
+				atAgent++
+			}
+			if j.info.Team == team {
+				ofTeam++
+			}
+		}
+	}
+	return atAgent, ofTeam
+}
+
+func (m *model) add(t *rapid.T) {
+	m.next++
+	info := JobInfo{
+		Job: m.next, Team: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "team"),
+		Service: rapid.SampledFrom([]string{"crop", "proof"}).Draw(t, "service"),
+		Tasks:   rapid.IntRange(1, 8).Draw(t, "tasks"), Accepted: m.now,
+	}
+	m.jobs[info.Job] = &modelJob{info: info, at: map[uint32]uint64{}, held: map[uint32]bool{}, left: info.Tasks}
+	m.d.Add(info, m.now)
+}
+
+// place takes all that the dispatcher gives out and checks each assignment.
+func (m *model) place(t *rapid.T) {
+	for a, ok := m.d.Next(m.now); ok; a, ok = m.d.Next(m.now) {
+		j := m.jobs[a.Job]
+		assert.Assert(t, j != nil, "a task of a removed job")
+		_, out := j.at[a.Task]
+		assert.Assert(t, !out && !j.held[a.Task], "task %v was placed already", a)
+		j.at[a.Task] = a.Agent
+		m.checkAgent(t, j, a)
+	}
+}
+
+func (m *model) checkAgent(t *rapid.T, j *modelJob, a Assignment) {
+	agent := m.agents[a.Agent-1]
+	assert.Assert(t, agent.Connected && !agent.Draining, "agent takes no work")
+	offers := false
+	for _, s := range agent.Services {
+		offers = offers || s == j.info.Service
+	}
+	assert.Assert(t, offers, "agent does not offer the service")
+	atAgent, ofTeam := m.out(a.Agent, j.info.Team)
+	limit := int(agent.Slots)
+	if m.d.cfg.Policy == PolicyLeases {
+		limit = m.granted[a.Agent]
+	}
+	assert.Assert(t, atAgent <= limit, "%d tasks at an agent with limit %d", atAgent, limit)
+	if m.d.agents[a.Agent].health.state == trickling {
+		assert.Assert(t, atAgent == 1, "more than a probe")
+	}
+	if j.info.Team == "x" && m.teams[0].MaxRunning > 0 {
+		assert.Assert(t, ofTeam <= m.teams[0].MaxRunning, "team over its quota")
+	}
+}
+
+// anyOut draws a task that is at an agent.
+func (m *model) anyOut(t *rapid.T) (*modelJob, uint32, uint64, bool) {
+	n := rapid.IntRange(0, 1000).Draw(t, "which")
+	for number := uint64(1); number <= m.next; number++ {
+		j := m.jobs[number]
+		if j == nil || len(j.at) == 0 {
+			continue
+		}
+		if n -= len(j.at); n > 0 && number < m.next {
+			continue
+		}
+		for task := range uint32(j.info.Tasks) {
+			if agent, ok := j.at[task]; ok {
+				return j, task, agent, true
+			}
+		}
+	}
+	return nil, 0, 0, false
+}
+
+func (m *model) end(t *rapid.T) {
+	j, task, agent, ok := m.anyOut(t)
+	if !ok {
+		return
+	}
+	outcome := rapid.SampledFrom([]Outcome{Done, Done, Done, Failed, NotRun, NotSent}).Draw(t, "outcome")
+	run := time.Duration(rapid.IntRange(1, 5000).Draw(t, "run")) * time.Millisecond
+	m.d.Ended(agent, j.info.Job, task, outcome, run, m.now)
+	delete(j.at, task)
+	j.held[task] = true
+	if outcome == NotRun || outcome == NotSent {
+		m.d.Requeue(j.info.Job, task)
+		delete(j.held, task)
+		return
+	}
+	if j.left--; j.left == 0 {
+		m.d.Remove(j.info.Job)
+		delete(m.jobs, j.info.Job)
+	}
+}
+
+func (m *model) step(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	case 0, 1, 2:
+		m.add(t)
+	case 3:
+		a := &m.agents[rapid.IntRange(0, len(m.agents)-1).Draw(t, "agent")]
+		a.Connected = rapid.Bool().Draw(t, "connected")
+		a.Draining = rapid.IntRange(0, 3).Draw(t, "draining") == 0
+		if !a.Connected {
+			m.granted[a.Incarnation] = 0
+		}
+		m.d.SetAgents(m.agents)
+	case 4:
+		m.grant(t)
+	default:
+		m.end(t)
+	}
+}
+
+func (m *model) grant(t *rapid.T) {
+	a := m.agents[rapid.IntRange(0, len(m.agents)-1).Draw(t, "agent")]
+	sequence := rapid.Uint64Range(0, 20).Draw(t, "sequence")
+	slots := rapid.IntRange(0, int(a.Slots)).Draw(t, "grant")
+	if known := m.d.agents[a.Incarnation]; sequence >= known.sequence {
+		m.granted[a.Incarnation] = slots
+	}
+	m.d.Granted(a.Incarnation, grantOf(slots, sequence))
+}
+
+// Whatever happens: a task is at one agent at most, that agent takes work,
+// offers the service, is within its slots and beyond its probe when ejected,
+// and the team is within its quota.
+func TestAssignmentsKeepEveryLimit(t *testing.T) {
+	for _, policy := range []string{PolicyLeastOutstanding, PolicyTwoChoices, PolicyLeases} {
+		t.Run(policy, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				m := drawModel(t, policy)
+				for range rapid.IntRange(1, 60).Draw(t, "steps") {
+					m.step(t)
+					m.place(t)
+					m.checkCounts(t)
+				}
+			})
+		})
+	}
+}
+
+// checkCounts compares the counts with the places of the tasks.
+func (m *model) checkCounts(t *rapid.T) {
+	sum := 0
+	for _, a := range m.agents {
+		n, _ := m.out(a.Incarnation, "")
+		sum += n
+		assert.Equal(t, m.d.agents[a.Incarnation].outstanding, n)
+		assert.Equal(t, m.d.agents[a.Incarnation].health.held, n)
+	}
+	assert.Equal(t, m.d.running, sum)
+	ejected := 0
+	for _, p := range m.d.pools {
+		ejected += p.ejected
+	}
+	for _, a := range m.d.list {
+		if a.health.state == trickling {
+			ejected--
+		}
+	}
+	assert.Equal(t, ejected, 0)
+}
+
+// While agents take work and tasks end, everything that waits is placed in
+// the end: no team, job or task is left behind.
+func TestEverythingIsPlacedInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, PolicyLeastOutstanding)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			m.step(t)
+			m.place(t)
+		}
+		for i := range m.agents {
+			m.agents[i].Connected, m.agents[i].Draining = true, false
+			m.agents[i].Services = []string{"crop", "proof"}
+		}
+		m.d.SetAgents(m.agents)
+		for range 2000 {
+			m.now = m.now.Add(time.Second)
+			m.place(t)
+			m.endAll()
+		}
+		assert.Equal(t, len(m.jobs), 0)
+		assert.Equal(t, m.d.waiting, 0)
+		assert.Equal(t, len(m.d.jobs), 0)
+	})
+}
+
+// endAll ends every task that is out, with success.
+func (m *model) endAll() {
+	for number, j := range m.jobs {
+		for task, agent := range j.at {
+			m.d.Ended(agent, number, task, Done, time.Millisecond, m.now)
+			delete(j.at, task)
+			j.left--
+		}
+		if j.left == 0 {
+			m.d.Remove(number)
+			delete(m.jobs, number)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/fleet_test.go
@@ -0,0 +1,245 @@
+package placement
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/yardstick"
+)
+
+// fakeFleet replays arrivals through several dispatchers and fake agents. A
+// fake agent runs as many tasks as it has slots, queues the others and tells
+// its load with each outcome. Messages take oneWay.
+type fakeFleet struct {
+	entries []*Dispatcher
+	agents  []*fakeAgent
+	jobs    []fleetJob
+	now     time.Time
+	events  eventHeap
+	count   int
+	oneWay  time.Duration
+	byKey   bool // agents queue by key instead of first come
+}
+
+type fleetJob struct {
+	yardstick.Job
+	entry  int
+	team   string
+	left   int
+	end    time.Time
+	failed bool
+}
+
+type fakeTask struct {
+	entry int
+	job   int
+	task  uint32
+	key   uint64
+}
+
+type fakeAgent struct {
+	number  uint64
+	slots   int
+	running int
+	queue   []fakeTask
+	slow    float64
+	fails   bool
+	started int
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, k int) bool {
+	if h[i].at.Equal(h[k].at) {
+		return h[i].order < h[k].order
+	}
+	return h[i].at.Before(h[k].at)
+}
+func (h eventHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	e := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return e
+}
+
+func newFleet(cfg Config, entries, agents, slots int) *fakeFleet {
+	f := &fakeFleet{now: start, oneWay: 1500 * time.Microsecond}
+	for i := range agents {
+		f.agents = append(f.agents, &fakeAgent{number: uint64(i + 1), slots: slots, slow: 1})
+	}
+	for i := range entries {
+		cfg.Seed = uint64(i + 1)
+		d := New(cfg)
+		var set []Agent
+		for _, a := range f.agents {
+			set = append(set, Agent{Incarnation: a.number, Slots: uint32(slots), Services: []string{"crop"}, Connected: true})
+		}
+		d.SetAgents(set)
+		f.entries = append(f.entries, d)
+	}
+	return f
+}
+
+func (f *fakeFleet) after(d time.Duration, run func()) {
+	f.count++
+	heap.Push(&f.events, event{at: f.now.Add(d), order: f.count, run: run})
+}
+
+// run replays the jobs until everything has ended.
+func (f *fakeFleet) run(jobs []fleetJob) {
+	f.jobs = jobs
+	for i := range jobs {
+		jobs[i].left = len(jobs[i].Runs)
+		f.after(jobs[i].Arrival, func() { f.arrive(i) })
+	}
+	for len(f.events) > 0 {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+}
+
+func (f *fakeFleet) arrive(i int) {
+	j := &f.jobs[i]
+	info := JobInfo{Job: uint64(i + 1), Team: j.team, Service: "crop", Tasks: len(j.Runs), Accepted: f.now}
+	if _, ok := f.entries[j.entry].Admit(info, f.now); !ok {
+		j.failed = true
+		return
+	}
+	f.entries[j.entry].Add(info, f.now)
+	f.pump(j.entry)
+}
+
+// pump sends all that an entry can send.
+func (f *fakeFleet) pump(entry int) {
+	d := f.entries[entry]
+	for a, ok := d.Next(f.now); ok; a, ok = d.Next(f.now) {
+		t := fakeTask{entry: entry, job: int(a.Job) - 1, task: a.Task, key: a.Key}
+		agent := f.agents[a.Agent-1]
+		f.after(f.oneWay, func() { f.reach(agent, t) })
+	}
+	for _, r := range d.Recalls() {
+		agent := f.agents[r.Agent-1]
+		f.after(f.oneWay, func() { f.recall(agent, entry, r) })
+	}
+}
+
+// recall gives a queued task back.
+func (f *fakeFleet) recall(a *fakeAgent, entry int, r Recall) {
+	for i, t := range a.queue {
+		if t.entry != entry || t.job != int(r.Job)-1 || t.task != r.Task {
+			continue
+		}
+		a.queue = slices.Delete(a.queue, i, i+1)
+		f.after(f.oneWay, func() {
+			f.entries[entry].Ended(a.number, r.Job, r.Task, NotRun, 0, f.now)
+			f.entries[entry].Requeue(r.Job, r.Task)
+			f.pump(entry)
+		})
+		return
+	}
+}
+
+func (f *fakeFleet) reach(a *fakeAgent, t fakeTask) {
+	a.queue = append(a.queue, t)
+	if f.byKey {
+		slices.SortStableFunc(a.queue, func(x, y fakeTask) int {
+			if x.key < y.key {
+				return -1
+			}
+			return 1
+		})
+	}
+	f.startNext(a)
+}
+
+func (f *fakeFleet) startNext(a *fakeAgent) {
+	for a.running < a.slots && len(a.queue) > 0 {
+		t := a.queue[0]
+		a.queue = a.queue[1:]
+		a.running++
+		a.started++
+		run := time.Duration(float64(f.jobs[t.job].Runs[t.task]) * a.slow)
+		if a.fails {
+			run = time.Millisecond
+		}
+		f.after(run, func() { f.ended(a, t, run) })
+	}
+}
+
+func (f *fakeFleet) ended(a *fakeAgent, t fakeTask, run time.Duration) {
+	a.running--
+	f.startNext(a)
+	load := &wirepb.AgentLoad{Slots: uint32(a.slots), Running: uint32(a.running), Queued: uint32(len(a.queue))}
+	failed := a.fails
+	f.after(f.oneWay, func() { f.outcome(a, t, run, load, failed) })
+}
+
+func (f *fakeFleet) outcome(a *fakeAgent, t fakeTask, run time.Duration, load *wirepb.AgentLoad, failed bool) {
+	d := f.entries[t.entry]
+	d.Load(a.number, load)
+	j := &f.jobs[t.job]
+	if failed {
+		d.Ended(a.number, uint64(t.job+1), t.task, Failed, run, f.now)
+		j.failed = true
+		d.Remove(uint64(t.job + 1))
+	} else {
+		d.Ended(a.number, uint64(t.job+1), t.task, Done, run, f.now)
+		if j.left--; j.left == 0 {
+			j.end = f.now
+			d.Remove(uint64(t.job + 1))
+		}
+	}
+	f.pump(t.entry)
+}
+
+// lags of the complete jobs, sorted, and their number of tasks.
+func (f *fakeFleet) lags(slots int) []time.Duration {
+	var lags []time.Duration
+	for _, j := range f.jobs {
+		if j.left == 0 && !j.failed {
+			lags = append(lags, j.end.Sub(start)-j.Arrival-yardstick.LowerBound(slots, j.Runs))
+		}
+	}
+	slices.Sort(lags)
+	return lags
+}
+
+// poisson draws jobs with geometric sizes and exponential run times.
+func poisson(seed uint64, entries int, perSecond, meanTasks float64, meanRun, length time.Duration) []fleetJob {
+	r := rand.New(rand.NewPCG(seed, 5))
+	var jobs []fleetJob
+	at := time.Duration(0)
+	for {
+		at += time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
+		if at > length {
+			return jobs
+		}
+		j := fleetJob{entry: len(jobs) % entries, team: "x"}
+		j.Arrival = at
+		n := min(390, 1+int(math.Log(1-r.Float64())/math.Log(1-1/meanTasks)))
+		for range n {
+			j.Runs = append(j.Runs, time.Duration(r.ExpFloat64()*float64(meanRun)))
+		}
+		jobs = append(jobs, j)
+	}
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 )
 
 type taskPhase uint8
@@ -14,7 +15,8 @@
 )
 
 type taskState struct {
-	agent *agent // while out
+	agent *agent        // while out
+	sent  time.Duration // since the dispatcher's epoch, while out
 	state taskPhase
 }
 
@@ -26,9 +28,12 @@
 	next      uint32   // first task that has never been sent
 	again     []uint32 // tasks to be sent again
 	waiting   int
+	out       int // tasks at agents
 	remaining int // tasks that have not ended
 	key       uint64
 	heapAt    int // index in the queue's heap, -1 when not there
+	removed   bool
+	removedAt time.Time // set when first seen after the removal
 }
 
 func newJob(info JobInfo, q *queue) *job {
@@ -42,7 +47,7 @@
 }
 
 // take returns the next waiting task and marks it as sent to the agent.
-func (j *job) take(a *agent) uint32 {
+func (j *job) take(a *agent, at time.Duration) uint32 {
 	task := j.next
 	if n := len(j.again); n > 0 {
 		task = j.again[n-1]
@@ -50,7 +55,8 @@
 	} else {
 		j.next++
 	}
-	j.tasks[task] = taskState{agent: a, state: taskOut}
+	j.tasks[task] = taskState{agent: a, sent: at, state: taskOut}
+	j.out++
 	return task
 }
 
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -13,8 +13,6 @@
 	OrderAged:            aged{},
 }
 
-func newOrder(cfg Config) order { return orders[cfg.Order] }
-
 type firstCome struct{}
 
 func (firstCome) key(_ *Dispatcher, j *job) uint64 { return uint64(j.info.Accepted.UnixMicro()) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,8 +76,11 @@
 	Done Outcome = iota + 1
 	// Failed tasks were started and have no result.
 	Failed
-	// NotRun tasks were never started; Requeue places them again.
+	// NotRun tasks were refused by the agent and never started; Requeue places
+	// them again.
 	NotRun
+	// NotSent tasks never left this entry; the agent isn't to blame.
+	NotSent
 )
 
 // Demand is what to tell one agent.
@@ -94,16 +97,28 @@
 	order  order
 
 	agents   map[uint64]*agent
+	list     []*agent // the same, in no order
 	pools    map[string]*pool
 	services map[string]*service
 	teams    map[string]*team
 	queues   map[queueKey]*queue
 	active   []*queue // queues with a waiting task
 	jobs     map[uint64]*job
+	removed  []*job // with tasks still at agents, in the order of removal
+	entries  int
 
 	waiting      int   // tasks
 	running      int   // tasks at agents
 	waitingBytes int64 // payloads of jobs with a waiting task
+
+	epoch    time.Time // stays are counted from here
+	nextWake time.Time
+	speedAt  int    // index in list of the last agent judged
+	round    uint64 // of activeWeight
+	setRound uint64 // of SetAgents
+
+	demands               []Demand
+	recalls, spareRecalls []Recall
 }
 
 // New returns a Dispatcher without agents or jobs. Unknown policy and order
@@ -113,47 +128,67 @@
 	return &Dispatcher{
 		cfg:      cfg,
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^seedMix)),
-		policy:   newPolicy(cfg),
-		order:    newOrder(cfg),
+		policy:   policies[cfg.Policy],
+		order:    orders[cfg.Order],
 		agents:   map[uint64]*agent{},
 		pools:    map[string]*pool{},
 		services: map[string]*service{},
 		teams:    map[string]*team{},
 		queues:   map[queueKey]*queue{},
 		jobs:     map[uint64]*job{},
+		entries:  1,
 	}
 }
 
 // Add makes an accepted job wait. A job that is known already is ignored.
 func (d *Dispatcher) Add(info JobInfo, _ time.Time) {
+	if old := d.jobs[info.Job]; old != nil && old.removed {
+		d.forget(old)
+	}
 	if d.jobs[info.Job] != nil || info.Tasks <= 0 {
 		return
 	}
 	j := newJob(info, d.queue(info.Service, info.Team))
 	d.jobs[info.Job] = j
+	j.queue.team.pending = max(0, j.queue.team.pending-info.Tasks)
 	d.wait(j, info.Tasks)
 }
 
 // Next returns the next task to send, until it returns false. The task then
-// counts as outstanding at the agent until Ended, Requeue or Remove.
-func (d *Dispatcher) Next(_ time.Time) (Assignment, bool) {
+// counts as outstanding at the agent until Ended or Requeue. Pauses of agents
+// end only in Next, so it is also called now and then when nothing happens.
+func (d *Dispatcher) Next(now time.Time) (Assignment, bool) {
+	if d.epoch.IsZero() {
+		d.epoch = now
+	}
+	d.wake(now)
+	d.dropRemoved(now)
 	q := d.nextQueue()
 	if q == nil {
 		return Assignment{}, false
 	}
-	a := d.pickAgent(q.service)
-	j := q.jobs.items[0]
-	task := j.take(a)
+	return d.send(q.jobs.items[0], d.pickAgent(q.service), now), true
+}
+
+// send binds the job's next task to the agent.
+func (d *Dispatcher) send(j *job, a *agent, now time.Time) Assignment {
+	at := now.Sub(d.epoch)
+	task := j.take(a, at)
 	d.unwait(j)
 	d.running++
 	j.queue.team.running++
 	a.outstanding++
+	a.sinceReport++
+	a.health.due = false
+	a.health.sent(at)
+	a.pool.stays.sent(at)
 	a.refresh(d)
-	return Assignment{Job: j.info.Job, Task: task, Agent: a.info.Incarnation, Key: j.key}, true
+	return Assignment{Job: j.info.Job, Task: task, Agent: a.info.Incarnation, Key: j.key}
 }
 
 // Ended tells how a task ended at the agent it was sent to. run is the time at
-// the minion. After NotRun the task is placed again only by Requeue.
+// the minion. After NotRun and NotSent the task is placed again only by
+// Requeue. Ends of removed jobs free their slots.
 func (d *Dispatcher) Ended(incarnation, jobNumber uint64, task uint32, outcome Outcome, run time.Duration, now time.Time) {
 	j := d.jobs[jobNumber]
 	if j == nil || int(task) >= len(j.tasks) {
@@ -163,27 +198,71 @@
 	if t.state != taskOut || t.agent.info.Incarnation != incarnation {
 		return
 	}
+	a, stay := t.agent, now.Sub(d.epoch)-t.sent
 	d.release(j, t)
-	if outcome == NotRun {
+	t.state = taskEnded
+	if outcome == NotRun || outcome == NotSent {
 		t.state = taskHeld
+	} else {
+		j.remaining--
+	}
+	d.learn(j, a, outcome, stay, run, now)
+	a.refresh(d)
+	d.finish(j)
+}
+
+// learn judges the agent by the end of a task.
+func (d *Dispatcher) learn(j *job, a *agent, outcome Outcome, stay, run time.Duration, now time.Time) {
+	if a.lost {
 		return
 	}
-	t.state = taskEnded
-	j.remaining--
-	d.reorder(j)
+	s := j.queue.service
+	if len(j.queue.jobs.items) == 0 {
+		s.drain.idle()
+	}
+	switch outcome {
+	case Done:
+		declared := j.info.declaredPerTask()
+		d.judgeDone(a, stay, run, s.runs.estimate(declared), now)
+		s.runs.add(run.Seconds(), declared)
+		s.drain.end(now)
+		d.widen(a)
+	case Failed:
+		if !j.removed {
+			d.judgeFailed(a, j.info.Job, now)
+		}
+		s.drain.end(now)
+	case NotRun:
+		if !j.removed {
+			d.narrow(a, now)
+		}
+	}
+}
+
+// finish moves a job to its place after a task has ended, or forgets it.
+func (d *Dispatcher) finish(j *job) {
+	if !j.removed {
+		d.reorder(j)
+		return
+	}
+	if j.out == 0 {
+		delete(d.jobs, j.info.Job)
+	}
 }
 
 // Requeue makes a task wait again that was not run, or whose agent never saw
 // it. A task that waits or has ended stays as it is.
 func (d *Dispatcher) Requeue(jobNumber uint64, task uint32) {
 	j := d.jobs[jobNumber]
-	if j == nil || int(task) >= len(j.tasks) {
+	if j == nil || j.removed || int(task) >= len(j.tasks) {
 		return
 	}
 	t := &j.tasks[task]
 	if t.state == taskOut {
+		a := t.agent
 		d.release(j, t)
 		t.state = taskHeld
+		a.refresh(d)
 	}
 	if t.state != taskHeld {
 		return
@@ -193,27 +272,62 @@
 	d.wait(j, 1)
 }
 
-// Remove drops a job: nothing of it is placed any more, and its outstanding
-// tasks no longer occupy slots here.
+// Remove drops a job: nothing of it is placed any more. Its tasks at agents
+// keep their slots until Ended, or for a few seconds when that never comes.
 func (d *Dispatcher) Remove(jobNumber uint64) {
 	j := d.jobs[jobNumber]
-	if j == nil {
+	if j == nil || j.removed {
 		return
 	}
-	delete(d.jobs, jobNumber)
+	d.forgetWaiting(j)
+	if j.out == 0 {
+		delete(d.jobs, jobNumber)
+		return
+	}
+	j.removed = true
+	d.removed = append(d.removed, j)
+}
+
+// dropRemoved frees the slots of tasks of removed jobs that never ended.
+func (d *Dispatcher) dropRemoved(now time.Time) {
+	for len(d.removed) > 0 {
+		j := d.removed[0]
+		if j.removedAt.IsZero() {
+			j.removedAt = now
+		}
+		if j.out > 0 && now.Sub(j.removedAt) < removedHold {
+			return
+		}
+		d.removed = d.removed[1:]
+		d.forget(j)
+	}
+}
+
+// forget drops a removed job with the tasks that are still at agents.
+func (d *Dispatcher) forget(j *job) {
+	if d.jobs[j.info.Job] == j {
+		delete(d.jobs, j.info.Job)
+	}
 	for i := range j.tasks {
-		if j.tasks[i].state == taskOut {
-			d.release(j, &j.tasks[i])
+		if t := &j.tasks[i]; t.state == taskOut {
+			a := t.agent
+			d.release(j, t)
+			t.state = taskEnded
+			a.refresh(d)
 		}
 	}
-	d.forgetWaiting(j)
 }
 
 // release frees the slot of an outstanding task.
 func (d *Dispatcher) release(j *job, t *taskState) {
+	a := t.agent
 	d.running--
 	j.queue.team.running--
-	t.agent.outstanding--
-	t.agent.refresh(d)
+	j.out--
+	a.outstanding--
+	a.health.left(t.sent)
+	if a.attached {
+		a.pool.stays.left(t.sent)
+	}
 	t.agent = nil
 }
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -8,6 +8,8 @@
 	limit(a *agent) int
 	// score orders agents; the smallest is preferred.
 	score(a *agent) int
+	// demands tells whether agents lend their slots on demand.
+	demands() bool
 	// pick chooses from a pool with at least one ready agent.
 	pick(p *pool, r *rand.Rand) *agent
 }
@@ -19,8 +21,6 @@
 	PolicyLeases:           leases{},
 }
 
-func newPolicy(cfg Config) policy { return policies[cfg.Policy] }
-
 // pickAgent chooses an agent for a service that is ready.
 func (d *Dispatcher) pickAgent(s *service) *agent {
 	var best *pool
@@ -44,18 +44,21 @@
 type randomPolicy struct{}
 
 func (randomPolicy) limit(a *agent) int                { return earlyWindow * int(a.info.Slots) }
+func (randomPolicy) demands() bool                     { return false }
 func (randomPolicy) score(*agent) int                  { return 0 }
 func (randomPolicy) pick(p *pool, r *rand.Rand) *agent { return pickAny(p, r) }
 
 type leastOutstanding struct{}
 
 func (leastOutstanding) limit(a *agent) int                { return int(a.info.Slots) }
+func (leastOutstanding) demands() bool                     { return false }
 func (leastOutstanding) score(a *agent) int                { return a.outstanding }
 func (leastOutstanding) pick(p *pool, r *rand.Rand) *agent { return pickBest(p, r) }
 
 type twoChoices struct{}
 
 func (twoChoices) limit(a *agent) int { return int(a.info.Slots) }
+func (twoChoices) demands() bool      { return false }
 func (twoChoices) score(a *agent) int { return a.load() }
 func (twoChoices) pick(p *pool, r *rand.Rand) *agent {
 	a, b := pickAny(p, r), pickAny(p, r)
@@ -68,5 +71,6 @@
 type leases struct{}
 
 func (leases) limit(a *agent) int                { return a.granted }
+func (leases) demands() bool                     { return true }
 func (leases) score(a *agent) int                { return a.outstanding }
 func (leases) pick(p *pool, r *rand.Rand) *agent { return pickBest(p, r) }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,6 +15,10 @@
 // best agent are found in constant time.
 type pool struct {
 	services []*service
+	members  int     // agents that take work
+	ejected  int     // agents that get probes only
+	failures float64 // recent share of failed tasks
+	stays    history // of the tasks at all agents
 	ready    []*agent
 	levels   [levelCount][]*agent
 	used     [levelCount / wordBits]uint64
--- /dev/null
+++ b/internal/placement/recall.go
@@ -0,0 +1,28 @@
+package placement
+
+// Recall asks one queued task back from an agent.
+type Recall struct {
+	Agent uint64
+	Job   uint64
+	Task  uint32
+}
+
+// Recalls returns the tasks to ask back since the last call: those at agents
+// that were ejected. A task that has started goes on there. The result is
+// valid until the next call.
+func (d *Dispatcher) Recalls() []Recall {
+	out := d.recalls
+	d.recalls = d.spareRecalls[:0]
+	d.spareRecalls = out
+	return out
+}
+
+func (d *Dispatcher) recallFrom(a *agent) {
+	for _, j := range d.jobs {
+		for i := range j.tasks {
+			if j.tasks[i].agent == a {
+				d.recalls = append(d.recalls, Recall{Agent: a.info.Incarnation, Job: j.info.Job, Task: uint32(i)})
+			}
+		}
+	}
+}
--- a/internal/placement/status.go
+++ b/internal/placement/status.go
@@ -21,6 +21,7 @@
 	Outstanding int    `json:"outstanding"`
 	Granted     int    `json:"granted"`
 	Limit       int    `json:"limit"`
+	Health      string `json:"health"`
 	TakesWork   bool   `json:"takesWork"`
 }
 
@@ -59,6 +60,7 @@
 		Outstanding: a.outstanding,
 		Granted:     a.granted,
 		Limit:       d.limit(a),
+		Health:      outlierChart.Name(a.health.state),
 		TakesWork:   a.takesWork(),
 	}
 }
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -1,10 +1,17 @@
 package placement
 
+import "time"
+
 // team is the state of one team at this entry.
 type team struct {
-	quota   Team
-	running int
-	waiting int
+	quota     Team
+	running   int
+	waiting   int
+	pending   int // tasks admitted and not added yet
+	pendingAt time.Time
+	tokens    float64 // tasks that may be admitted now; below 0 is a debt
+	filledAt  time.Time
+	counted   uint64 // last round of activeWeight
 }
 
 func (t *team) weight() float64 {
@@ -15,8 +22,33 @@
 }
 
 // atQuota tells whether no further task may run.
-func (t *team) atQuota() bool {
-	return t.quota.MaxRunning > 0 && t.running >= t.quota.MaxRunning
+func (d *Dispatcher) atQuota(t *team) bool {
+	limit := d.share(t.quota.MaxRunning)
+	return limit > 0 && t.running >= limit
+}
+
+// share is this entry's part of a quota of the whole fleet, rounded up.
+func (d *Dispatcher) share(quota int) int { return (quota + d.entries - 1) / d.entries }
+
+// untilTokens fills the team's bucket and returns how long it stays empty. A
+// job is admitted when there is any token and may leave a debt, so that jobs
+// larger than the burst can pass.
+func (t *team) untilTokens(entries int, now time.Time) time.Duration {
+	rate := t.quota.TasksPerSecond / float64(entries)
+	if rate <= 0 {
+		return 0
+	}
+	burst := max(float64(t.quota.Burst)/float64(entries), 1)
+	if t.filledAt.IsZero() {
+		t.tokens = burst
+	} else {
+		t.tokens = min(burst, t.tokens+rate*now.Sub(t.filledAt).Seconds())
+	}
+	t.filledAt = now
+	if t.tokens > 0 {
+		return 0
+	}
+	return seconds((1 - t.tokens) / rate)
 }
 
 func (d *Dispatcher) team(name string) *team {
@@ -39,14 +71,21 @@
 	}
 }
 
+// SetEntries tells how many entries share the load. Quotas are for all of
+// them; each keeps to its part.
+func (d *Dispatcher) SetEntries(n int) { d.entries = max(n, 1) }
+
 // nextQueue returns the queue to serve next, or nil when no waiting task can
 // be placed. Teams below their share come first, by the key of their most
 // urgent job; among teams at or above it the least served comes first.
 func (d *Dispatcher) nextQueue() *queue {
+	if len(d.active) == 0 {
+		return nil
+	}
 	weights := d.activeWeight()
 	var best *queue
 	for _, q := range d.active {
-		if q.team.atQuota() || !q.service.ready() {
+		if !q.service.ready() || d.atQuota(q.team) {
 			continue
 		}
 		if best == nil || d.prefer(q, best, weights) {
@@ -56,10 +95,15 @@
 	return best
 }
 
+// activeWeight sums the weights of the teams with waiting tasks.
 func (d *Dispatcher) activeWeight() float64 {
+	d.round++
 	sum := 0.0
 	for _, q := range d.active {
-		sum += q.team.weight()
+		if q.team.counted != d.round {
+			q.team.counted = d.round
+			sum += q.team.weight()
+		}
 	}
 	return sum
 }
