--- a/api/resource/resource.go
+++ b/api/resource/resource.go
@@ -109,8 +109,11 @@
 	TasksPerSecond uint32 `json:"tasksPerSecond,omitempty"`
 	// Burst is how many tasks may be accepted at once beyond the rate.
 	Burst uint32 `json:"burst,omitempty"`
-	// MaxOpenTasks bounds the team's tasks that have not ended; 0 is no bound.
-	MaxOpenTasks uint32 `json:"maxOpenTasks,omitempty"`
+	// MaxRunning bounds the team's tasks at agents, for each entry; 0 is no
+	// bound.
+	MaxRunning uint32 `json:"maxRunning,omitempty"`
+	// MaxWaiting bounds the team's tasks that wait at one entry; 0 is no bound.
+	MaxWaiting uint32 `json:"maxWaiting,omitempty"`
 }
 
 // SettingSpec is a named value of the fleet.
@@ -134,3 +137,22 @@
 	n, err := strconv.ParseUint(version, 10, 64)
 	return n, err == nil && FormatVersion(n) == version
 }
+
+// Members are the control processes.
+type Members struct {
+	// Leader is the ID of the leading member; 0 when there is none.
+	Leader uint64   `json:"leader"`
+	Term   uint64   `json:"term"`
+	Commit uint64   `json:"commit"`
+	Items  []Member `json:"items"`
+}
+
+// Member is one control process.
+type Member struct {
+	ID      uint64 `json:"id"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Learner members have no vote.
+	Learner bool `json:"learner"`
+}
