--- /dev/null
+++ b/internal/agent/dump.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"time"
+
+	"endivewing/internal/gate"
+)
+
+// dumpTimeout bounds the wait for a dump.
+const dumpTimeout = time.Second
+
+// Dump is the state of an agent for people to read.
+type Dump struct {
+	Name        string    `json:"name"`
+	Zone        string    `json:"zone"`
+	Address     string    `json:"address"`
+	Incarnation uint64    `json:"incarnation"`
+	State       string    `json:"state"`
+	LeaseValid  bool      `json:"leaseValid"`
+	Minion      string    `json:"minion"`
+	Gate        gate.Dump `json:"gate"`
+}
+
+// Dump returns the state; a process that isn't registered or has ended shows
+// no gate.
+func (p *Process) Dump() any {
+	if l := p.life(); l != nil {
+		reply := make(chan Dump, 1)
+		l.post(dumpWanted{reply})
+		select {
+		case d := <-reply:
+			return d
+		case <-l.done:
+		case <-time.After(dumpTimeout):
+		}
+	}
+	return p.dump("unregistered")
+}
+
+func (p *Process) dump(state string) Dump {
+	return Dump{
+		Name:       p.opts.Name,
+		Zone:       p.opts.Zone,
+		Address:    p.address,
+		State:      state,
+		LeaseValid: p.follower.LeaseValid(time.Now()),
+		Minion:     p.opts.MinionURL,
+	}
+}
+
+func (l *life) dump() Dump {
+	d := l.p.dump(lifeChart.Name(l.state))
+	d.Incarnation = l.incarnation
+	d.Gate = l.gate.Dump()
+	return d
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,7 +10,7 @@
 type Config struct {
 	// Incarnation is the registration number of the agent.
 	Incarnation uint64
-	// Services are the services the minion runs; empty is all of them.
+	// Services are the services the minion runs; nil is all of them.
 	Services []string
 	Limits   Limits
 }
@@ -96,8 +96,12 @@
 	return g
 }
 
-// SetServices replaces the services that the minion runs; empty is all.
+// SetServices replaces the services that the minion runs; nil is all.
 func (g *Gate) SetServices(services []string) {
+	g.services = nil
+	if services == nil {
+		return
+	}
 	g.services = make(map[string]bool, len(services))
 	for _, s := range services {
 		g.services[s] = true
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -40,7 +40,7 @@
 	if reason := g.closed(); reason != ReasonNone {
 		return reason
 	}
-	if len(g.services) > 0 && !g.services[m.Service] {
+	if g.services != nil && !g.services[m.Service] {
 		return ReasonUnknownService
 	}
 	if g.hasFreeSlot() {
