Control process: quorum, disk, ledger, leases and requests

A leader that is lost answers its open proposals UNKNOWN_OUTCOME; only what another entry replaced is NOT_LEADER. A member that comes back with another disk under its old ID is refused by the others and ends.

--- /dev/null
+++ b/internal/control/identity.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/quorum"
+)
+
+const (
+	identityFile    = "identity.json"
+	identityVersion = 1
+)
+
+// identity ties a data folder to one member. It is written before anything
+// else and never changes.
+type identity struct {
+	Version int    `json:"version"`
+	Cluster string `json:"cluster"`
+	ID      uint64 `json:"id"`
+	// Disk is drawn when the folder is made.
+	Disk uint64 `json:"disk"`
+	// Membership is the first one, encoded; empty for a member that joined.
+	Membership []byte `json:"membership"`
+	// Checksum is the hash of the file with Checksum 0.
+	Checksum uint64 `json:"checksum"`
+}
+
+// openIdentity reads the folder's identity, or makes one for a new folder.
+// Error: ErrIdentity, wrapped, and those of the file system.
+func openIdentity(o *Options) (*identity, error) {
+	path := filepath.Join(o.DataDir, identityFile)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return makeIdentity(o, path)
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read identity")
+	}
+	id := new(identity)
+	if err := json.Unmarshal(text, id); err != nil {
+		return nil, eris.Wrapf(ErrIdentity, "%s: %v", path, err)
+	}
+	return id, id.check(o, path)
+}
+
+func (id *identity) check(o *Options, path string) error {
+	switch {
+	case id.Version != identityVersion:
+		return eris.Wrapf(ErrIdentity, "%s: format version %d", path, id.Version)
+	case id.Checksum != id.sum():
+		return eris.Wrapf(ErrIdentity, "%s: checksum", path)
+	case id.Cluster != o.Cluster:
+		return eris.Wrapf(ErrIdentity, "%s: cluster %q, settings say %q", path, id.Cluster, o.Cluster)
+	case id.ID != o.ID:
+		return eris.Wrapf(ErrIdentity, "%s: member %d, settings say %d", path, id.ID, o.ID)
+	}
+	return nil
+}
+
+func (id *identity) sum() uint64 {
+	plain := *id
+	plain.Checksum = 0
+	text, err := json.Marshal(&plain)
+	if err != nil {
+		panic(err) // only numbers, strings and bytes
+	}
+	return xxhash.Sum64(text)
+}
+
+func makeIdentity(o *Options, path string) (*identity, error) {
+	var disk [8]byte
+	_, _ = rand.Read(disk[:]) // never fails
+	id := &identity{
+		Version: identityVersion,
+		Cluster: o.Cluster,
+		ID:      o.ID,
+		Disk:    binary.BigEndian.Uint64(disk[:]) | 1,
+	}
+	if !o.Join {
+		membership, err := proto.Marshal(firstMembership(o).Proto())
+		if err != nil {
+			return nil, eris.Wrap(err, "encode members")
+		}
+		id.Membership = membership
+	}
+	id.Checksum = id.sum()
+	text, err := json.Marshal(id)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode identity")
+	}
+	return id, writeDurably(path, text)
+}
+
+// membership is the first one, or none for a member that joined.
+func (id *identity) membership() (quorum.Membership, error) {
+	m := new(wirepb.QuorumMembership)
+	if err := proto.Unmarshal(id.Membership, m); err != nil {
+		return quorum.Membership{}, eris.Wrapf(ErrIdentity, "members: %v", err)
+	}
+	return quorum.MembershipOf(m), nil
+}
+
+func firstMembership(o *Options) quorum.Membership {
+	var m quorum.Membership
+	for _, p := range o.Members {
+		m.Voters = append(m.Voters, quorum.Member{ID: p.ID, Context: encodePeer(p)})
+	}
+	return m
+}
+
+// encodePeer is what the membership keeps of a member besides its ID.
+func encodePeer(p Peer) []byte {
+	context, err := proto.Marshal(&wirepb.Member{Id: p.ID, Name: p.Name, Address: p.Address, Zone: p.Zone})
+	if err != nil {
+		return nil // a name that is not UTF-8
+	}
+	return context
+}
+
+func decodePeer(m quorum.Member) Peer {
+	p := new(wirepb.Member)
+	_ = proto.Unmarshal(m.Context, p)
+	return Peer{ID: m.ID, Name: p.Name, Address: p.Address, Zone: p.Zone}
+}
+
+// writeDurably puts a whole file in place and syncs it and its folder.
+func writeDurably(path string, text []byte) error {
+	temp := path + ".tmp"
+	f, err := os.Create(temp)
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+	_, err = f.Write(text)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err != nil {
+		return eris.Wrap(err, "write file")
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return eris.Wrap(err, "rename file")
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return eris.Wrap(err, "open folder")
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/internal/control/install.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/ledger"
+	"endivewing/internal/snapshot"
+	"endivewing/internal/wire"
+)
+
+const (
+	chunkBytes   = 512 << 10
+	chunkTimeout = 10 * time.Second
+)
+
+// installs moves snapshots between members, outside the loop.
+type installs struct {
+	p    *Process
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+
+	mu      sync.Mutex
+	sending map[uint64]bool
+	// incoming are the snapshots that arrive, by session.
+	incoming map[*wire.Session]*incoming
+}
+
+// incoming is a snapshot that arrives.
+type incoming struct {
+	offer  *wirepb.CoreMessage
+	writer *snapshot.Writer
+	offset uint64
+}
+
+func (x *installs) init(p *Process) {
+	x.p = p
+	x.ctx, x.stop = context.WithCancel(context.Background())
+	x.sending = map[uint64]bool{}
+	x.incoming = map[*wire.Session]*incoming{}
+}
+
+func (x *installs) close() {
+	x.stop()
+	x.wait.Wait()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, in := range x.incoming {
+		in.writer.Abort()
+	}
+}
+
+// offer sends the newest snapshot to the member that a message is for.
+func (x *installs) offer(m *wirepb.CoreMessage) {
+	x.mu.Lock()
+	busy := x.sending[m.To]
+	x.sending[m.To] = true
+	x.mu.Unlock()
+	if busy {
+		return
+	}
+	x.wait.Go(func() {
+		err := x.send(m)
+		x.mu.Lock()
+		delete(x.sending, m.To)
+		x.mu.Unlock()
+		if err != nil {
+			x.p.opts.Log.V(1).Info("snapshot not sent", "member", m.To, "error", err.Error())
+			x.p.post(snapshotNotSent{m.To})
+		}
+	})
+}
+
+func (x *installs) send(m *wirepb.CoreMessage) error {
+	s := x.p.peers.session(m.To)
+	if s == nil {
+		return eris.New("no session")
+	}
+	r, _, err := snapshot.Newest(x.p.snapshotDir())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Close() }()
+	offer := proto.CloneOf(m)
+	offer.GetInstallSnapshot().Meta = r.Meta()
+	for chunk := (&wirepb.SnapshotChunk{Offer: offer}); ; {
+		data := make([]byte, chunkBytes)
+		n, err := io.ReadFull(r, data)
+		chunk.Data = data[:n]
+		chunk.Last = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		if err != nil && !chunk.Last {
+			return err
+		}
+		if err := x.sendChunk(s, chunk); err != nil || chunk.Last {
+			return err
+		}
+		chunk = &wirepb.SnapshotChunk{Offset: chunk.Offset + uint64(n)}
+	}
+}
+
+func (x *installs) sendChunk(s *wire.Session, chunk *wirepb.SnapshotChunk) error {
+	ctx, cancel := context.WithTimeout(x.ctx, chunkTimeout)
+	defer cancel()
+	_, err := s.Call(ctx, wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_SnapshotChunk{SnapshotChunk: chunk}})
+	return err
+}
+
+// receive writes one chunk; the last one makes the snapshot durable.
+func (x *installs) receive(from caller, chunk *wirepb.SnapshotChunk) {
+	done, err := x.write(from.session, chunk)
+	if err != nil {
+		x.drop(from.session)
+		x.p.opts.Log.Error(err, "snapshot not received")
+		from.fault(wirepb.FaultCode_FAULT_CODE_UNAVAILABLE, err.Error(), "")
+		return
+	}
+	if done != nil {
+		x.p.post(*done)
+	}
+	response := &wirepb.SnapshotChunkResponse{}
+	from.reply(&wirepb.Envelope{Body: &wirepb.Envelope_SnapshotChunkResponse{SnapshotChunkResponse: response}})
+}
+
+func (x *installs) write(s *wire.Session, chunk *wirepb.SnapshotChunk) (*snapshotOffered, error) {
+	in, err := x.arriving(s, chunk)
+	if err != nil {
+		return nil, err
+	}
+	if chunk.Offset != in.offset {
+		return nil, eris.Errorf("chunk at %d, want %d", chunk.Offset, in.offset)
+	}
+	if _, err := in.writer.Write(chunk.Data); err != nil {
+		return nil, err
+	}
+	in.offset += uint64(len(chunk.Data))
+	if !chunk.Last {
+		return nil, nil
+	}
+	if err := in.writer.Commit(); err != nil {
+		return nil, err
+	}
+	x.drop(s)
+	return x.decode(in.offer)
+}
+
+// arriving returns the snapshot that a chunk belongs to; an offer begins one.
+func (x *installs) arriving(s *wire.Session, chunk *wirepb.SnapshotChunk) (*incoming, error) {
+	if chunk.Offer == nil {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if in := x.incoming[s]; in != nil {
+			return in, nil
+		}
+		return nil, eris.New("chunk without an offer")
+	}
+	x.drop(s)
+	w, err := snapshot.Create(x.p.snapshotDir(), chunk.Offer.GetInstallSnapshot().GetMeta())
+	if err != nil {
+		return nil, err
+	}
+	in := &incoming{offer: chunk.Offer, writer: w}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.incoming[s] = in
+	return in, nil
+}
+
+// decode reads the snapshot back from the disk, so that what the ledger holds
+// is what a restart would find.
+func (x *installs) decode(offer *wirepb.CoreMessage) (*snapshotOffered, error) {
+	r, _, err := snapshot.Newest(x.p.snapshotDir())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Close() }()
+	state, err := ledger.Decode(r)
+	if err != nil {
+		return nil, err
+	}
+	offer = proto.CloneOf(offer)
+	offer.GetInstallSnapshot().Meta = r.Meta()
+	return &snapshotOffered{offer: offer, state: state}, nil
+}
+
+// drop ends what arrives on a session.
+func (x *installs) drop(s *wire.Session) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if in := x.incoming[s]; in != nil {
+		in.writer.Abort()
+		delete(x.incoming, s)
+	}
+}
--- /dev/null
+++ b/internal/control/takeover_test.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/controlclient"
+	"endivewing/internal/wire"
+)
+
+func follow(t *testing.T, c controlclient.Control, name string) *controlclient.Follower {
+	f := controlclient.Follow(context.Background(), c, controlclient.FollowOptions{
+		Instance: entryInstance(name), Log: logr.Discard(), Hold: 30 * time.Millisecond,
+	})
+	t.Cleanup(f.Close)
+	until(t, "lease", func() bool { return f.LeaseValid(time.Now()) })
+	return f
+}
+
+func TestGroupOfDeadEntryIsTakenOver(t *testing.T) {
+	ctx := context.Background()
+	c := startCluster(t, 3, func(o *Options) { o.Lease = 300 * time.Millisecond })
+	client := c.client()
+	heir := follow(t, client, "heir")
+	dead := register(t, client, "dead")
+	job, err := client.Accept(ctx, acceptRequest(dead, "s"))
+	assert.NilError(t, err)
+
+	answer := make(chan *wirepb.GetJobResponse, 1)
+	go func() {
+		r, err := client.GetJob(ctx, &wirepb.GetJobRequest{Job: job.Job.Job, WaitMs: 30_000})
+		assert.Check(t, err)
+		answer <- r
+	}()
+	until(t, "takeover", func() bool { return heir.View().Groups[dead].GetOwner() == heir.Incarnation() })
+	group := heir.View().Groups[dead]
+	assert.Equal(t, group.Epoch, uint64(2))
+	assert.Assert(t, heir.View().Instances[dead].GetEnded(), "kept while a job is older than its end")
+	_, err = client.Sync(ctx, &wirepb.SyncRequest{Incarnation: dead})
+	assert.ErrorIs(t, err, controlclient.ErrFenced)
+	_, err = client.Accept(ctx, acceptRequest(dead, "s2"))
+	assert.ErrorIs(t, err, controlclient.ErrFenced)
+
+	page, err := client.ListOpenJobs(ctx, &wirepb.ListOpenJobsRequest{Group: dead})
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Jobs), 1)
+	assert.Equal(t, len(page.Jobs[0].Spec.Tasks[0].Payload), 100)
+	late, err := client.Complete(ctx, completeRequest(dead, dead, 1, job.Job.Job))
+	assert.NilError(t, err)
+	assert.Assert(t, late.Fenced)
+	request := completeRequest(heir.Incarnation(), dead, 2, job.Job.Job)
+	for range 2 { // the second is a resend
+		done, err := client.Complete(ctx, request)
+		assert.NilError(t, err)
+		assert.Assert(t, !done.Fenced)
+	}
+	r := <-answer
+	assert.Equal(t, string(r.Job.Answer.Results[0]), "result")
+	until(t, "the group ends", func() bool { return heir.View().GroupEnded(dead) && heir.View().Instances[dead] == nil })
+	until(t, "the revision is in force", func() bool { return heir.InForce() == heir.View().Revision })
+}
+
+func TestResendAfterLostAnswer(t *testing.T) {
+	ctx := context.Background()
+	c := startCluster(t, 3, nil)
+	client := c.client()
+	owner := register(t, client, "a")
+	request := acceptRequest(owner, "s")
+	s, err := wire.Dial(ctx, c.running[c.leader()].Address(), wire.Options{
+		Hello: func() *wirepb.Hello { return &wirepb.Hello{Cluster: "test"} }, Log: logr.Discard(),
+	})
+	assert.NilError(t, err)
+	s.Start()
+	assert.NilError(t, s.Send(wire.LaneTraffic, &wirepb.Envelope{
+		Call: 1, Body: &wirepb.Envelope_AcceptRequest{AcceptRequest: request},
+	}))
+	until(t, "the record", func() bool { return c.dump(c.leader()).Ledger.Open == 1 })
+	s.Close()
+	first, err := client.Accept(ctx, request)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Outcome, wirepb.AcceptOutcome_ACCEPT_OUTCOME_NEW)
+	other, err := client.Accept(ctx, acceptRequest(owner, "s"))
+	assert.NilError(t, err)
+	assert.Equal(t, other.Outcome, wirepb.AcceptOutcome_ACCEPT_OUTCOME_EXISTING)
+	assert.Equal(t, other.Job.Job, first.Job.Job)
+}
+
+func TestUnknownOutcomeIsNeverNotRun(t *testing.T) {
+	c := startCluster(t, 3, nil)
+	client := c.client()
+	owner := register(t, client, "a")
+	leader := c.leader()
+	for _, m := range c.members {
+		if m.ID != leader {
+			c.kill(m.ID)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := client.Accept(ctx, acceptRequest(owner, "s"))
+	assert.ErrorIs(t, err, controlclient.ErrUnknownOutcome)
+	c.kill(leader)
+	fresh := c.client()
+	ctx, cancel = context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err = fresh.Accept(ctx, acceptRequest(owner, "s"))
+	assert.ErrorIs(t, err, controlclient.ErrNotRun)
+}
+
+func TestOperatorsRaceWithEqualVersions(t *testing.T) {
+	ctx := context.Background()
+	c := startCluster(t, 3, nil)
+	a, b := c.client(), c.client()
+	apply := func(client controlclient.Control, id, spec string, expected uint64) *wirepb.ApplyResponse {
+		r, err := client.Apply(ctx, &wirepb.ApplyRequest{
+			RequestId: id, ExpectedRevision: expected,
+			Resource: &wirepb.Resource{Kind: "team", Name: "x", Spec: []byte(spec)},
+		})
+		assert.Check(t, err)
+		return r
+	}
+	first := apply(a, "1", "v1", 0)
+	results := make(chan *wirepb.ApplyResponse, 2)
+	go func() { results <- apply(a, "2", "a", first.Resource.Revision) }()
+	go func() { results <- apply(b, "3", "b", first.Resource.Revision) }()
+	x, y := <-results, <-results
+	assert.Assert(t, x.Conflict != y.Conflict)
+	assert.Equal(t, x.Resource.Revision, y.Resource.Revision, "the loser sees the winner's version")
+	assert.Equal(t, string(x.Resource.Spec), string(y.Resource.Spec))
+	c.kill(c.leader())
+	again := apply(b, "1", "v1", 0)
+	assert.Assert(t, !again.Conflict, "a resend gets the first answer")
+	assert.Equal(t, again.Resource.Revision, first.Resource.Revision)
+}
