--- /dev/null
+++ b/internal/wal/fault_test.go
@@ -0,0 +1,194 @@
+package wal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// faultyFile fails on demand.
+type faultyFile struct {
+	file
+	// writeErr fails a write after half of it; it stays until cleared.
+	writeErr, syncErr, truncateErr error
+}
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if f.writeErr == nil {
+		return f.file.Write(p)
+	}
+	n, _ := f.file.Write(p[:len(p)/2])
+	return n, f.writeErr
+}
+
+func (f *faultyFile) Sync() error {
+	if f.syncErr != nil {
+		return f.syncErr
+	}
+	return f.file.Sync()
+}
+
+func (f *faultyFile) Truncate(size int64) error {
+	if f.truncateErr != nil {
+		return f.truncateErr
+	}
+	return f.file.Truncate(size)
+}
+
+func openFaulty(t *testing.T, dir string, f *faultyFile) *Log {
+	t.Helper()
+	l, _ := mustOpen(t, dir, Options{create: func(path string) (file, error) {
+		disk, err := createFile(path)
+		f.file = disk
+		return f, err
+	}})
+	return l
+}
+
+func reopen(t *testing.T, l *Log) *Recovered {
+	t.Helper()
+	assert.NilError(t, l.Close())
+	_, found := mustOpen(t, l.dir, Options{})
+	return found
+}
+
+func TestFullDiskKeepsTheLogUsable(t *testing.T) {
+	f := &faultyFile{}
+	l := openFaulty(t, t.TempDir(), f)
+	assert.NilError(t, l.Append(record(&wirepb.HardState{Term: 1}, 1, 1)))
+	f.writeErr = unix.ENOSPC
+	next := record(nil, 1, 2)
+	assert.ErrorIs(t, l.Append(next), ErrDiskFull)
+	assert.ErrorIs(t, l.Append(next), ErrDiskFull)
+	f.writeErr = nil
+	assert.NilError(t, l.Append(next))
+	found := reopen(t, l)
+	assert.Equal(t, len(found.Entries), 2)
+	assert.Equal(t, found.CutBytes, int64(0))
+}
+
+func TestUnknownDiskStateIsFatal(t *testing.T) {
+	for name, f := range map[string]*faultyFile{
+		"sync":     {syncErr: unix.EIO},
+		"write":    {writeErr: unix.EIO},
+		"truncate": {writeErr: unix.ENOSPC, truncateErr: unix.EIO},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fault := *f
+			*f = faultyFile{}
+			l := openFaulty(t, t.TempDir(), f)
+			f.writeErr, f.syncErr, f.truncateErr = fault.writeErr, fault.syncErr, fault.truncateErr
+			var fatal *FatalError
+			assert.Assert(t, errors.As(l.Append(record(nil, 1, 1)), &fatal))
+			assert.Equal(t, fatal.Op, name)
+			f.writeErr, f.syncErr, f.truncateErr = nil, nil, nil
+			assert.Assert(t, errors.As(l.Append(record(nil, 1, 1)), &fatal))
+		})
+	}
+}
+
+// threeFrames returns a folder with one segment, the path of the segment and
+// the offsets of the frames that follow its first.
+func threeFrames(t testing.TB) (dir, path string, offsets []int64) {
+	t.Helper()
+	dir = t.TempDir()
+	l, _, err := Open(dir, Options{})
+	assert.NilError(t, err)
+	for i := range uint64(3) {
+		_, size := l.Segments()
+		offsets = append(offsets, size)
+		assert.NilError(t, l.Append(record(&wirepb.HardState{Term: 1, Commit: i}, 1, i+1)))
+	}
+	assert.NilError(t, l.Close())
+	return dir, l.active.path, offsets
+}
+
+// TestTornTailIsCut: whatever part of the last append is missing or was never
+// written, the appends before it are found and the log goes on.
+func TestTornTailIsCut(t *testing.T) {
+	_, path, offsets := threeFrames(t)
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	last := int(offsets[2])
+	for n := last + 1; n < len(text); n++ {
+		checkCut(t, text[:n], n-last)
+	}
+	// A file can have grown before its bytes were written.
+	checkCut(t, append(text[:last:last], make([]byte, sectorBytes)...), sectorBytes)
+}
+
+func checkCut(t *testing.T, text []byte, cut int) {
+	t.Helper()
+	dir := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, segmentName(1)), text, 0o644))
+	l, found, err := Open(dir, Options{})
+	assert.NilError(t, err)
+	assert.Equal(t, found.CutBytes, int64(cut))
+	assert.Equal(t, len(found.Entries), 2)
+	assert.Equal(t, found.Hard.Commit, uint64(1))
+	assert.NilError(t, l.Append(record(nil, 1, 3)))
+	assert.Equal(t, len(reopen(t, l).Entries), 3)
+}
+
+// TestDamageIsRefused: a changed byte in what was synced is told with file
+// and offset, and never read as a shorter log.
+func TestDamageIsRefused(t *testing.T) {
+	dir, path, offsets := threeFrames(t)
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for i := range text {
+		bad := append([]byte(nil), text...)
+		bad[i] ^= 0x55
+		assert.NilError(t, os.WriteFile(path, bad, 0o644))
+		_, _, err := Open(dir, Options{})
+		var damage *DamageError
+		assert.Assert(t, errors.As(err, &damage), "byte %d: %v", i, err)
+		assert.Equal(t, damage.File, path)
+		if int64(i) >= offsets[1] && int64(i) < offsets[2] {
+			assert.Equal(t, damage.Offset, offsets[1])
+		}
+	}
+}
+
+func TestMissingSegmentIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{SegmentBytes: 1})
+	for i := range uint64(4) {
+		assert.NilError(t, l.Append(record(nil, 1, i+1)))
+	}
+	assert.NilError(t, l.Close())
+	assert.NilError(t, os.Remove(l.segments[1].path))
+	_, _, err := Open(dir, Options{})
+	assert.ErrorContains(t, err, "is missing")
+	var damage *DamageError
+	assert.Assert(t, errors.As(err, &damage))
+}
+
+// FuzzOpen: any file is read, cut or refused with a typed error, and what was
+// read once is read again.
+func FuzzOpen(f *testing.F) {
+	_, path, offsets := threeFrames(f)
+	text, err := os.ReadFile(path)
+	assert.NilError(f, err)
+	f.Add(text)
+	f.Add(text[:offsets[2]+3])
+	f.Fuzz(func(t *testing.T, text []byte) {
+		dir := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, segmentName(1)), text, 0o644))
+		l, found, err := Open(dir, Options{})
+		var damage *DamageError
+		if errors.As(err, &damage) || errors.Is(err, ErrVersion) {
+			return
+		}
+		assert.NilError(t, err)
+		again := reopen(t, l)
+		assert.Equal(t, len(again.Entries), len(found.Entries))
+		assert.Equal(t, again.CutBytes, int64(0))
+	})
+}
