--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -24,6 +24,7 @@
 	DefaultHeartbeatTicks = 2
 	DefaultElectionTicks  = 10
 	DefaultSnapshotBytes  = 64 << 20
+	DefaultRetainEntries  = 10_000
 )
 
 const (
@@ -32,9 +33,7 @@
 	eventQueue      = 4096
 	maxPending      = 1 << 16
 	maxPendingBytes = 64 << 20
-	// retainEntries are kept before a snapshot for members a little behind.
-	retainEntries = 10_000
-	snapshotCount = 100_000
+	snapshotCount   = 100_000
 )
 
 var (
@@ -87,10 +86,16 @@
 	// a snapshot is written.
 	SnapshotEntries uint64
 	SnapshotBytes   int64
+	// RetainEntries are kept in the log before a snapshot, for members a
+	// little behind.
+	RetainEntries uint64
 
 	TLS   *tls.Config
 	Log   logr.Logger
 	Scope tally.Scope
+
+	// wrapLog puts a failing disk in place of the log in tests.
+	wrapLog func(appender) appender
 }
 
 func (o *Options) setDefaults() {
@@ -102,6 +107,7 @@
 	setDefault(&o.ElectionTicks, DefaultElectionTicks)
 	setDefault(&o.SnapshotEntries, snapshotCount)
 	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&o.RetainEntries, DefaultRetainEntries)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -112,11 +112,18 @@
 		return err
 	}
 	p.peers = newPeers(p.opts.ID, p.wireOptions(p.onMember))
-	p.disk = newDisk(log, p.peers.send, p.post)
+	p.disk = newDisk(p.wrapped(log), p.peers.send, p.post)
 	p.loop = newLoop(p, core, state, stored.SnapshotIndex)
 	return nil
 }
 
+func (p *Process) wrapped(log appender) appender {
+	if p.opts.wrapLog == nil {
+		return log
+	}
+	return p.opts.wrapLog(log)
+}
+
 func (p *Process) coreConfig() quorum.Config {
 	return quorum.Config{
 		ID:             p.opts.ID,
--- /dev/null
+++ b/internal/control/replace_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/controlclient"
+)
+
+// acceptSome accepts jobs and returns them by submission.
+func acceptSome(t *testing.T, client controlclient.Control, owner uint64, prefix string, n int) map[string]uint64 {
+	jobs := map[string]uint64{}
+	for i := range n {
+		submission := fmt.Sprint(prefix, i)
+		r, err := client.Accept(context.Background(), acceptRequest(owner, submission))
+		assert.NilError(t, err)
+		jobs[submission] = r.Job.Job
+	}
+	return jobs
+}
+
+func assertJobs(t *testing.T, client controlclient.Control, jobs map[string]uint64) {
+	for submission, job := range jobs {
+		r, err := client.GetJob(context.Background(), &wirepb.GetJobRequest{Team: "t", Submission: submission})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Job.GetJob(), job)
+	}
+}
+
+func changeMembers(t *testing.T, client controlclient.Control, action wirepb.MembershipAction, p Peer, replace uint64) {
+	_, err := client.Membership(context.Background(), &wirepb.MembershipRequest{
+		Action: action, Replace: replace,
+		Member: &wirepb.Member{Id: p.ID, Name: p.Name, Address: p.Address},
+	})
+	assert.NilError(t, err)
+}
+
+// TestLostDiskIsReplacedAndThenAnother: a member without its disk is refused
+// under its old ID, a new one takes its place, and a second member is lost
+// right after the promotion.
+func TestLostDiskIsReplacedAndThenAnother(t *testing.T) {
+	for _, snapshots := range []uint64{0, 10} {
+		t.Run(fmt.Sprint("snapshots every ", snapshots), func(t *testing.T) {
+			c := startCluster(t, 3, func(o *Options) {
+				o.SnapshotEntries = snapshots
+				o.RetainEntries = max(1, snapshots/2)
+			})
+			client := c.client()
+			owner := register(t, client, "a")
+			jobs := acceptSome(t, client, owner, "before", 40)
+			until(t, "disks are recorded", func() bool { return c.dump(c.leader()).Ledger.Resources == 3+2 })
+			c.caughtUp()
+			if snapshots > 0 {
+				until(t, "snapshots", func() bool { return c.dump(c.leader()).LastSnapshot >= 40 })
+			}
+
+			c.kill(3)
+			c.dirs[3] = t.TempDir()
+			impostor := c.start(3, false)
+			assert.ErrorIs(t, impostor.Err(), ErrDiskLost)
+			delete(c.running, 3)
+
+			c.members = append(c.members, c.newPeer(4))
+			c.start(4, true)
+			changeMembers(t, client, wirepb.MembershipAction_MEMBERSHIP_ACTION_ADD_LEARNER, c.peer(4), 0)
+			changeMembers(t, client, wirepb.MembershipAction_MEMBERSHIP_ACTION_PROMOTE, c.peer(4), 3)
+			c.kill(c.leader())
+			for submission, job := range acceptSome(t, client, owner, "after", 5) {
+				jobs[submission] = job
+			}
+			assertJobs(t, client, jobs)
+			assert.Equal(t, c.dump(4).Quorum.Role == "learner", false)
+			assert.Equal(t, len(c.dump(4).Members), 3)
+		})
+	}
+}
+
+func TestFolderOfAnotherMemberIsRefused(t *testing.T) {
+	c := startCluster(t, 1, nil)
+	c.kill(1)
+	o := c.options(1, false)
+	o.Cluster = "another"
+	_, err := Start(context.Background(), o)
+	assert.ErrorIs(t, err, ErrIdentity)
+	_, err = Start(context.Background(), Options{})
+	assert.ErrorIs(t, err, ErrOptions)
+}
+
+// TestMemberFarBehindCatchesUp: the log it missed is gone, and a restart reads
+// its own snapshot.
+func TestMemberFarBehindCatchesUp(t *testing.T) {
+	c := startCluster(t, 3, func(o *Options) {
+		o.SnapshotEntries = 20
+		o.RetainEntries = 1
+	})
+	client := c.client()
+	owner := register(t, client, "a")
+	c.caughtUp()
+	behind := c.leader()%3 + 1
+	c.kill(behind)
+	jobs := acceptSome(t, client, owner, "s", 100)
+	until(t, "snapshot", func() bool { return c.dump(c.leader()).LastSnapshot > 60 })
+	c.start(behind, false)
+	c.caughtUp()
+	assert.Equal(t, c.dump(behind).Ledger.Open, 100)
+	assert.Assert(t, c.dump(behind).LastSnapshot > 60)
+	c.kill(behind)
+	c.start(behind, false)
+	c.caughtUp()
+	assert.Equal(t, c.dump(behind).Ledger.Open, 100)
+	assertJobs(t, client, jobs)
+}
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -71,12 +71,12 @@
 		return
 	}
 	l.snapshots.last = s.index
-	if err := l.core.Compact(s.index, retainEntries); err != nil {
+	if err := l.core.Compact(s.index, l.opts.RetainEntries); err != nil {
 		l.opts.Log.Error(err, "log not compacted")
 		return
 	}
-	if s.index > retainEntries {
-		l.p.disk.push(diskJob{release: s.index - retainEntries})
+	if s.index > l.opts.RetainEntries {
+		l.p.disk.push(diskJob{release: s.index - l.opts.RetainEntries})
 	}
 	if err := snapshot.Prune(l.p.snapshotDir(), s.index); err != nil {
 		l.opts.Log.Error(err, "old snapshots stay")
