--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -11,7 +11,9 @@
 type agent struct {
 	incarnation uint64
 	// up: a session to it is established.
-	up    bool
+	up bool
+	// met: there was a session before.
+	met   bool
 	ended bool
 	clean bool
 	// endIndex is the log index of the record that ended it.
@@ -33,15 +35,27 @@
 	if a.ended {
 		return
 	}
-	a.up = true
+	again := a.met
+	a.up, a.met = true, true
 	for _, g := range o.sortedGroups() {
 		if !g.settled && !g.answered[incarnation] {
 			o.sendClaim(g, incarnation)
 		}
+		if again && g.loaded {
+			// What it was told to forget may have been lost; the floor of an
+			// empty message makes up for it.
+			o.batches.forget(incarnation, g)
+		}
 	}
 	o.query(incarnation)
 }
 
+// up tells whether there is a session to the agent.
+func (o *Owner) up(incarnation uint64) bool {
+	a := o.agents[incarnation]
+	return a != nil && a.up
+}
+
 // AgentDown notes that the session to the incarnation ended. What it holds
 // stays in doubt until it is back or has ended.
 func (o *Owner) AgentDown(incarnation uint64) {
@@ -152,7 +166,7 @@
 		}
 		for i := range j.tasks {
 			if t := &j.tasks[i]; t.agent == incarnation && t.atAgent() {
-				o.batches.cancel(incarnation, j, uint32(i))
+				o.cancelTask(j, uint32(i))
 			}
 		}
 	}
@@ -172,8 +186,7 @@
 		return
 	}
 	t := &j.tasks[index]
-	a := o.agents[t.agent]
-	if t.state == taskQueued && a != nil && a.up {
+	if t.state == taskQueued && o.up(t.agent) {
 		o.batches.recall(t.agent, j, index)
 	}
 }
--- a/internal/owner/batches.go
+++ b/internal/owner/batches.go
@@ -50,9 +50,9 @@
 	b.recalls[to] = append(b.recalls[to], j.ref(index))
 }
 
-func (b *batches) forget(agent uint64, g *group, job uint64) {
+func (b *batches) forget(agent uint64, g *group, jobs ...uint64) {
 	to := target{agent, g.id}
-	b.forgets[to] = append(b.forgets[to], job)
+	b.forgets[to] = append(b.forgets[to], jobs...)
 }
 
 // forgetOnce is forget for a job that is named once for each of its tasks.
--- /dev/null
+++ b/internal/owner/gate_test.go
@@ -0,0 +1,214 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+const (
+	queued  = wirepb.TaskOutcome_TASK_OUTCOME_QUEUED
+	started = wirepb.TaskOutcome_TASK_OUTCOME_STARTED
+	done    = wirepb.TaskOutcome_TASK_OUTCOME_DONE
+	failed  = wirepb.TaskOutcome_TASK_OUTCOME_FAILED
+	notRun  = wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN
+)
+
+// deliverToAgent hands the oldest message of a session to its agent.
+func (w *world) deliverToAgent(o *simOwner, a *simAgent, refuse bool) bool {
+	l := w.links[o][a.incarnation]
+	if l == nil || len(l.toAgent) == 0 {
+		return false
+	}
+	e := l.toAgent[0]
+	l.toAgent = l.toAgent[1:]
+	switch body := e.Body.(type) {
+	case *wirepb.Envelope_StartTask:
+		w.start(a, l, body.StartTask, refuse)
+	case *wirepb.Envelope_CancelTasks:
+		w.stopTasks(a, l, body.CancelTasks.Group, body.CancelTasks.Epoch, body.CancelTasks.Tasks, true)
+	case *wirepb.Envelope_RecallTasks:
+		w.stopTasks(a, l, body.RecallTasks.Group, body.RecallTasks.Epoch, body.RecallTasks.Tasks, true)
+	case *wirepb.Envelope_QueryTasks:
+		w.stopTasks(a, l, body.QueryTasks.Group, body.QueryTasks.Epoch, body.QueryTasks.Tasks, false)
+	case *wirepb.Envelope_ForgetJobs:
+		w.forget(a, body.ForgetJobs)
+	case *wirepb.Envelope_ClaimGroup:
+		w.claimed(a, l, body.ClaimGroup)
+	}
+	return true
+}
+
+func (w *world) outcome(a *simAgent, k taskKey, s *seenTask) *wirepb.TaskUpdate {
+	u := &wirepb.TaskUpdate{
+		Job: k.job, Task: k.task, Group: s.group, Epoch: a.fences[s.group], Attempt: s.attempt, Outcome: s.outcome,
+	}
+	if s.outcome == done {
+		u.Result = result(k)
+	}
+	return u
+}
+
+func (w *world) tell(a *simAgent, l *link, k taskKey, s *seenTask) {
+	u := w.outcome(a, k, s)
+	l.toOwner = append(l.toOwner, &wirepb.Envelope{Body: &wirepb.Envelope_TaskUpdate{TaskUpdate: u}})
+}
+
+// tellHolder sends an outcome to the owner of the task's group, if connected.
+func (w *world) tellHolder(a *simAgent, k taskKey, s *seenTask) {
+	for _, o := range w.owners {
+		l := w.links[o][a.incarnation]
+		if g := o.groups[s.group]; l != nil && l.up && g != nil && g.epoch == a.fences[s.group] {
+			w.tell(a, l, k, s)
+		}
+	}
+}
+
+func (w *world) start(a *simAgent, l *link, m *wirepb.StartTask, refuse bool) {
+	k := taskKey{m.Job, m.Task}
+	if m.Epoch < a.fences[m.Group] || m.Job < a.floor[m.Group] {
+		w.tell(a, l, k, &seenTask{group: m.Group, attempt: m.Attempt, outcome: notRun})
+		return
+	}
+	a.fences[m.Group] = m.Epoch
+	s := a.seen[k]
+	if s != nil && (s.outcome != notRun || m.Attempt <= s.attempt) {
+		w.tell(a, l, k, s)
+		return
+	}
+	s = &seenTask{group: m.Group, attempt: m.Attempt, outcome: queued}
+	a.seen[k] = s
+	if refuse {
+		w.refuse(k, s)
+	}
+	w.tell(a, l, k, s)
+}
+
+func (w *world) refuse(k taskKey, s *seenTask) {
+	s.outcome = notRun
+	w.refused[k] = max(w.refused[k], s.attempt)
+}
+
+// stopTasks answers a cancel, recall or query.
+func (w *world) stopTasks(a *simAgent, l *link, group, epoch uint64, refs []*wirepb.TaskRef, stop bool) {
+	if epoch < a.fences[group] {
+		return
+	}
+	for _, ref := range refs {
+		k := taskKey{ref.Job, ref.Task}
+		s := a.seen[k]
+		if s == nil || s.outcome == notRun && s.attempt < ref.Attempt {
+			s = &seenTask{group: group, attempt: ref.Attempt}
+			a.seen[k] = s
+			w.refuse(k, s)
+		}
+		if stop && s.outcome == queued && s.attempt <= ref.Attempt {
+			w.refuse(k, s)
+		}
+		w.tell(a, l, k, s)
+	}
+}
+
+func (w *world) forget(a *simAgent, m *wirepb.ForgetJobs) {
+	if m.Epoch < a.fences[m.Group] {
+		return
+	}
+	a.floor[m.Group] = max(a.floor[m.Group], m.OpenFrom)
+	for n, d := range w.jobs {
+		if d.Group == m.Group && n < m.OpenFrom && w.durable[n] == nil {
+			w.t.Fatalf("the floor %d of group %d is above job %d, whose end is not durable", m.OpenFrom, m.Group, n)
+		}
+	}
+	for _, k := range a.keys() {
+		if a.seen[k].group == m.Group && (k.job < m.OpenFrom || slices.Contains(m.Jobs, k.job)) {
+			if w.durable[k.job] == nil {
+				w.t.Fatalf("agent %d forgets job %d before its end is durable", a.incarnation, k.job)
+			}
+			if o := a.seen[k].outcome; o == queued || o == started {
+				w.t.Fatalf("agent %d forgets task %d/%d, which has not ended", a.incarnation, k.job, k.task)
+			}
+			delete(a.seen, k)
+		}
+	}
+}
+
+func (w *world) claimed(a *simAgent, l *link, m *wirepb.ClaimGroup) {
+	r := &wirepb.ClaimReport{Group: m.Group, Epoch: m.Epoch, Fenced: m.Epoch < a.fences[m.Group]}
+	if !r.Fenced {
+		a.fences[m.Group] = m.Epoch
+		for _, k := range a.keys() {
+			if s := a.seen[k]; s.group == m.Group {
+				r.Tasks = append(r.Tasks, w.outcome(a, k, s))
+			}
+		}
+	}
+	l.toOwner = append(l.toOwner, &wirepb.Envelope{Body: &wirepb.Envelope_ClaimReport{ClaimReport: r}})
+}
+
+// work moves one task of an agent on.
+func (w *world) work(a *simAgent, at int, fail bool) {
+	var open []taskKey
+	for _, k := range a.keys() {
+		if o := a.seen[k].outcome; o == queued || o == started {
+			open = append(open, k)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	k := open[at%len(open)]
+	s := a.seen[k]
+	switch {
+	case s.outcome == queued:
+		s.outcome = started
+		w.begin(k)
+	case fail:
+		s.outcome = failed
+	default:
+		s.outcome = done
+	}
+	w.tellHolder(a, k, s)
+}
+
+// begin is the start of a task at a minion.
+func (w *world) begin(k taskKey) {
+	w.started[k]++
+	w.running[k.job] = true
+	if w.started[k] > 1 {
+		w.t.Fatalf("task %d/%d started twice", k.job, k.task)
+	}
+	if d := w.durable[k.job]; d != nil && d.NotRun {
+		w.t.Fatalf("task %d/%d started after its job was answered not run", k.job, k.task)
+	}
+}
+
+func (a *simAgent) keys() []taskKey {
+	return slices.SortedFunc(maps.Keys(a.seen), func(x, y taskKey) int {
+		return cmp.Or(cmp.Compare(x.job, y.job), cmp.Compare(x.task, y.task))
+	})
+}
+
+// deliverToOwner hands a message of a session to its owner: the oldest, or a
+// later one, or a copy of one that comes again.
+func (w *world) deliverToOwner(o *simOwner, a *simAgent, at int, again bool) bool {
+	l := w.links[o][a.incarnation]
+	if l == nil || len(l.toOwner) == 0 {
+		return false
+	}
+	at %= len(l.toOwner)
+	e := l.toOwner[at]
+	if !again {
+		l.toOwner = slices.Delete(l.toOwner, at, at+1)
+	}
+	switch body := e.Body.(type) {
+	case *wirepb.Envelope_TaskUpdate:
+		o.Update(a.incarnation, body.TaskUpdate, w.now)
+	case *wirepb.Envelope_ClaimReport:
+		if !o.ClaimReport(a.incarnation, body.ClaimReport, w.now) {
+			o.Fenced(body.ClaimReport.Group)
+		}
+	}
+	return true
+}
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -111,7 +111,15 @@
 	case t.state == taskWaiting:
 		t.on(evDrop)
 	case t.atAgent():
-		o.batches.cancel(t.agent, j, index)
+		o.cancelTask(j, index)
+	}
+}
+
+// cancelTask asks the agent of a task to stop it. An agent that can't be
+// reached is asked when its session is back.
+func (o *Owner) cancelTask(j *job, index uint32) {
+	if agent := j.tasks[index].agent; o.up(agent) {
+		o.batches.cancel(agent, j, index)
 	}
 }
 
@@ -172,7 +180,7 @@
 	delete(o.jobs, j.id)
 	j.group.closed(j.id)
 	for _, agent := range j.agents {
-		if a := o.agents[agent]; a != nil && !a.ended {
+		if o.up(agent) {
 			o.batches.forget(agent, j.group, j.id)
 		}
 	}
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -94,12 +94,8 @@
 	if j == nil || int(index) >= len(j.tasks) || j.state != jobOpen {
 		return false
 	}
-	a := o.agents[agent]
-	if a == nil || !a.up || a.ended {
-		return false
-	}
 	t := &j.tasks[index]
-	if !j.step(t, evSend) {
+	if !o.up(agent) || !j.step(t, evSend) {
 		return false
 	}
 	t.agent = agent
@@ -221,7 +217,7 @@
 // it was unknown where it is when the job began to fail.
 func (o *Owner) cancelAdopted(j *job, t *task, index uint32) {
 	if t.inherited && (j.state == jobFailing || j.answered()) {
-		o.batches.cancel(t.agent, j, index)
+		o.cancelTask(j, index)
 	}
 }
 
