--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// streakToEject is the number of jobs in a row of which a task failed.
-	streakToEject = 3
+	// streakToEject is the number of jobs in a row of which a task failed, and
+	// streakAmongFailures the number where failures are common.
+	streakToEject       = 2
+	streakAmongFailures = 3
+	commonFailures      = 0.05
 	// slowFactor and slowPrior: an agent is slow when its tasks have taken
 	// the time in which its peers would have ended slowFactor times as many,
 	// counting slowPrior more than it did.
@@ -51,6 +54,9 @@
 	state      statechart.State
 	streak     int    // jobs in a row of which a task failed
 	lastFailed uint64 // the last of them
+	// streakSince is when the first failure became known. Only the success of
+	// a task sent later ends the streak.
+	streakSince time.Duration
 	probeAt    time.Time
 	pause      time.Duration
 	due        bool // a probe may be sent
@@ -111,13 +117,20 @@
 	if a.health.streak == 0 || a.pool.failing() {
 		return math.MaxInt
 	}
-	return max(1, streakToEject-a.health.streak)
+	return 1
 }
 
 // failing tells whether failures are so common that single agents aren't the
 // cause.
 func (p *pool) failing() bool { return p.failures > poolFailing }
 
+func (p *pool) streakLimit() int {
+	if p.failures > commonFailures {
+		return streakAmongFailures
+	}
+	return streakToEject
+}
+
 // mayEject bounds the agents of a pool that are ejected at once.
 func (p *pool) mayEject() bool {
 	most := min(int(math.Ceil(maxEjectedPart*float64(p.members))), p.members-1)
@@ -129,7 +142,9 @@
 	a.pool.failures -= outcomeWeight * a.pool.failures
 	a.pool.stays.add(stay, historyTasks*float64(max(a.pool.members, 1)))
 	a.health.add(stay, historyTasks)
-	a.health.streak = 0
+	if now.Sub(d.epoch)-stay >= a.health.streakSince {
+		a.health.streak = 0
+	}
 	switch a.health.state {
 	case trickling:
 		d.judgeProbe(a, run.Seconds() <= goodRun*expected, now)
@@ -149,9 +164,12 @@
 	if a.health.streak > 0 && a.health.lastFailed == job {
 		return
 	}
+	if a.health.streak == 0 {
+		a.health.streakSince = now.Sub(d.epoch)
+	}
 	a.health.streak++
 	a.health.lastFailed = job
-	if a.health.state == returning || a.health.streak >= streakToEject {
+	if a.health.state == returning || a.health.streak >= a.pool.streakLimit() {
 		d.eject(a, failPause, now)
 	}
 }
