Lending: demands stand, and none is left out; benchmarks of the gate

Entries tell a demand once and don't say when its key grows. Counting a demand down left an entry that still waited without slots; taking the key for good let the entry with the smallest one keep all slots. Now a key orders as many slots as were asked for and the demand then stands behind newer ones, sharing evenly with its like.

--- /dev/null
+++ b/internal/gate/bench_test.go
@@ -0,0 +1,83 @@
+package gate
+
+import (
+	"runtime"
+	"testing"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// jobTasks is the number of tasks of one job at one agent in benchmarks.
+const jobTasks = 4
+
+func benchLimits() Limits {
+	l := testLimits()
+	l.Slots, l.ResultBytes = 8, 1<<30
+	return l
+}
+
+// BenchmarkTask is the whole way of a task through the gate: start, end and,
+// once for each job, forgetting.
+func BenchmarkTask(b *testing.B) {
+	x := newBench(b, benchLimits())
+	result := make([]byte, 67)
+	payload := make([]byte, 100)
+	b.ReportAllocs()
+	for i := range b.N {
+		job, task := uint64(100+i/jobTasks), uint32(i%jobTasks)
+		x.g.StartTask(x.now, testSession, &wirepb.StartTask{
+			Job: job, Task: task, Attempt: 1, Group: testEntry, Epoch: 1, Incarnation: 9, Payload: payload,
+		})
+		x.g.Settle(x.now)
+		x.g.Acted()
+		x.g.Ended(x.now, Ending{Key: Key{job, task}, Result: result})
+		if task == jobTasks-1 {
+			x.g.Forget(x.now, testSession, &wirepb.ForgetJobs{Group: testEntry, Epoch: 1, Jobs: []uint64{job}})
+		}
+		x.g.Settle(x.now)
+		x.g.Acted()
+	}
+}
+
+// BenchmarkSeenTask measures the memory that a task takes while its job is
+// not forgotten, without its result.
+func BenchmarkSeenTask(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		end  bool
+	}{{"done", true}, {"not run", false}} {
+		b.Run(c.name, func(b *testing.B) {
+			const tasks = 200000
+			for range b.N {
+				x := newBench(b, benchLimits())
+				before := heapBytes()
+				seeTasks(x, tasks, c.end)
+				b.ReportMetric(float64(heapBytes()-before)/tasks, "B/task")
+				runtime.KeepAlive(x)
+			}
+		})
+	}
+}
+
+func seeTasks(x *bench, tasks int, end bool) {
+	result := make([]byte, 67)
+	x.g.SetDraining(!end)
+	for i := range tasks {
+		job, task := uint64(100+i/jobTasks), uint32(i%jobTasks)
+		x.g.StartTask(x.now, testSession, &wirepb.StartTask{
+			Job: job, Task: task, Attempt: 1, Group: testEntry, Epoch: 1, Incarnation: 9,
+		})
+		if end {
+			x.g.Ended(x.now, Ending{Key: Key{job, task}, Result: result})
+		}
+		x.g.Settle(x.now)
+		x.g.Acted()
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/gate/lending.go
+++ b/internal/gate/lending.go
@@ -14,6 +14,11 @@
 // Lending divides an agent's slots among entries. The sum of what is lent is
 // never over the capacity. A slot that gets free goes to the demand with the
 // smallest key; without demands, idle slots are lent evenly.
+//
+// A demand stands until its entry replaces it, and an entry need not say when
+// its key grows. So a key orders no more slots than the demand asked for; after
+// that the demand stands behind those with a newer key, and demands of that
+// kind share evenly. No entry that waits is left without slots for long.
 type Lending struct {
 	capacity int
 	sequence uint64
@@ -26,9 +31,11 @@
 	id          SessionID
 	lent        int
 	outstanding int
-	// waiting and key are its demand that isn't served yet.
+	// waiting and key are its standing demand; served is the number of slots
+	// it got for it.
 	waiting int
 	key     uint64
+	served  int
 	// reserved slots were lent for a demand and not used yet; they can't move
 	// before reservedUntil.
 	reserved      int
@@ -68,8 +75,7 @@
 // Demand replaces what an entry asks for.
 func (l *Lending) Demand(now time.Duration, id SessionID, waiting int, key uint64) {
 	if h := l.find(id); h != nil {
-		h.waiting = waiting
-		h.key = key
+		h.waiting, h.key, h.served = waiting, key, 0
 		l.evenAt = now + evenDelay
 	}
 }
@@ -195,17 +201,31 @@
 	return true
 }
 
+// mostUrgent is the first demand that has less unused slots than it asks for.
 func (l *Lending) mostUrgent() *holder {
 	var best *holder
 	for i := range l.holders {
 		h := &l.holders[i]
-		if h.waiting > 0 && (best == nil || h.key < best.key) {
+		if h.lent-h.outstanding < h.waiting && (best == nil || h.before(best)) {
 			best = h
 		}
 	}
 	return best
 }
 
+// before tells whether a demand is served before another one.
+func (h *holder) before(other *holder) bool {
+	fresh, otherFresh := h.served < h.waiting, other.served < other.waiting
+	switch {
+	case fresh != otherFresh:
+		return fresh
+	case fresh:
+		return h.key < other.key
+	default:
+		return h.lent < other.lent
+	}
+}
+
 // richest is the holder with the most slots that can move.
 func (l *Lending) richest(now time.Duration) *holder {
 	var donor *holder
@@ -238,7 +258,14 @@
 	return least
 }
 
-func (l *Lending) demanded() bool { return l.mostUrgent() != nil }
+func (l *Lending) demanded() bool {
+	for i := range l.holders {
+		if l.holders[i].waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // uneven tells whether two holders differ by more than one slot.
 func (l *Lending) uneven() bool {
@@ -281,12 +308,12 @@
 	return max(idle, 0)
 }
 
-// reserve turns one waiting task of the holder into a reserved slot.
+// reserve sets one unused slot of the holder aside for its demand.
 func (h *holder) reserve(now time.Duration) {
 	if now >= h.reservedUntil {
 		h.reserved = 0
 	}
-	h.waiting--
+	h.served++
 	h.reserved++
 	h.reservedUntil = now + reserveTime
 }
--- /dev/null
+++ b/internal/gate/lending_test.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// lendingWorld drives a Lending and keeps what the entries were told.
+type lendingWorld struct {
+	l    Lending
+	now  time.Duration
+	last SessionID
+	told map[SessionID]Grant
+}
+
+// settle reports whether the lending had settled: a second round has nothing
+// to say.
+func (w *lendingWorld) settle() bool {
+	for _, g := range w.l.Settle(w.now, nil) {
+		w.told[g.Session] = g
+	}
+	return len(w.l.Settle(w.now, nil)) == 0
+}
+
+func TestLendingUsesAllSlotsAndServesDemands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &lendingWorld{told: map[SessionID]Grant{}}
+		pick := func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) }
+		holder := func() SessionID { return SessionID(pick("holder", 1, int(w.last)+1)) }
+		act := func(input func()) func(*rapid.T) {
+			return func(*rapid.T) {
+				input()
+				assert.Assert(t, w.settle(), "told twice")
+			}
+		}
+		w.l.SetCapacity(8)
+		t.Repeat(map[string]func(*rapid.T){
+			"join": act(func() {
+				if w.last < 4 {
+					w.last++
+					w.l.Join(w.now, w.last, pick("outstanding", 0, 3))
+				}
+			}),
+			"leave":    act(func() { w.l.Leave(holder()) }),
+			"capacity": act(func() { w.l.SetCapacity(pick("capacity", 0, 10)) }),
+			"demand":   act(func() { w.l.Demand(w.now, holder(), pick("waiting", 0, 9), uint64(pick("key", 0, 3))) }),
+			"begun":    act(func() { w.l.Begun(w.now, holder()) }),
+			"ended":    act(func() { w.l.Ended(w.now, holder()) }),
+			"time":     act(func() { w.now += time.Duration(pick("ms", 1, 300)) * time.Millisecond }),
+			"":         func(t *rapid.T) { w.check(t) },
+		})
+	})
+}
+
+func (w *lendingWorld) check(t *rapid.T) {
+	if len(w.l.holders) > 0 {
+		assert.Equal(t, w.l.lent(), w.l.capacity)
+	}
+	unserved := w.l.mostUrgent()
+	for i := range w.l.holders {
+		h := &w.l.holders[i]
+		assert.Equal(t, w.told[h.id].Slots, h.lent)
+		idle := h.lent > 0 && h.movable(w.now) > 0
+		assert.Assert(t, unserved == nil || !idle, "a slot is idle at %d while another demand waits", h.id)
+	}
+}
+
+// TestLendingLeavesNobodyOut has entries that always wait and never change
+// their keys: each must go on getting slots.
+func TestLendingLeavesNobodyOut(t *testing.T) {
+	const entries, rounds = 3, 3000
+	w := &lendingWorld{told: map[SessionID]Grant{}}
+	w.l.SetCapacity(8)
+	starts := map[SessionID]int{}
+	for id := SessionID(1); id <= entries; id++ {
+		w.l.Join(0, id, 0)
+		w.l.Demand(0, id, 8, uint64(id))
+	}
+	for round := range rounds {
+		w.settle()
+		w.now += time.Millisecond
+		for id := SessionID(1); id <= entries; id++ {
+			for h := w.l.find(id); h.outstanding < w.told[id].Slots; starts[id]++ {
+				w.l.Begun(w.now, id)
+			}
+		}
+		// One task ends; which one moves over the entries that have any.
+		for i := range SessionID(entries) {
+			if id := (SessionID(round)+i)%entries + 1; w.l.find(id).outstanding > 0 {
+				w.l.Ended(w.now, id)
+				break
+			}
+		}
+	}
+	for id := SessionID(1); id <= entries; id++ {
+		assert.Assert(t, starts[id] > rounds/entries/2, "entry %d started %d of %d", id, starts[id], rounds)
+	}
+}
+
+func TestUnusedSlotsMoveToADemandAfterTheReservation(t *testing.T) {
+	w := &lendingWorld{told: map[SessionID]Grant{}}
+	w.l.SetCapacity(8)
+	for id := SessionID(1); id <= 2; id++ {
+		w.l.Join(0, id, 0)
+		w.l.Demand(0, id, 8, uint64(id))
+	}
+	w.settle()
+	assert.Equal(t, w.told[1].Slots, 8)
+	w.now = w.l.Wake(w.now)
+	assert.Equal(t, w.now, reserveTime)
+	w.settle()
+	assert.Equal(t, w.told[2].Slots, 8)
+	w.l.Demand(w.now, 1, 0, 0)
+	w.l.Demand(w.now, 2, 0, 0)
+	w.settle()
+	w.now = w.l.Wake(w.now)
+	w.settle()
+	assert.Equal(t, w.told[1].Slots, 4)
+}
