--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -6,11 +6,25 @@
 	"gotest.tools/v3/assert"
 )
 
+// TestCommitsAtEveryMember: an append stands for the heartbeat of its
+// interval, and the next heartbeat tells the rest of the commit index.
 func TestCommitsAtEveryMember(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.elect()
+	c.tick(2 * testHeartbeatTicks)
 	index := c.propose(lead, []byte("a"), []byte("b"))
+	heartbeats := 0
+	lead.ready = func(r Ready) {
+		for _, m := range r.Messages {
+			if m.GetHeartbeat() != nil {
+				heartbeats++
+			}
+		}
+	}
+	c.tick(testHeartbeatTicks)
+	assert.Equal(t, heartbeats, 0)
 	c.tick(testHeartbeatTicks)
+	assert.Equal(t, heartbeats, 2)
 	for _, h := range c.hosts {
 		assert.Equal(t, h.app.applied, index+1)
 	}
--- a/internal/quorum/progress.go
+++ b/internal/quorum/progress.go
@@ -25,6 +25,8 @@
 	inflight []uint64
 	// probed: a probe or snapshot offer is unanswered.
 	probed bool
+	// spoken: an append was sent since the last heartbeat interval began.
+	spoken bool
 	// silent counts ticks since its last answer.
 	silent int
 	// round is the last read round it answered.
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -111,10 +111,14 @@
 	c.lead.beatBefore, c.lead.lastBeat = c.lead.lastBeat, c.commit
 }
 
-// beat sends the periodic heartbeat. An append that was not answered for a
-// whole interval is asked about again, since it or its answer may be lost.
+// beat sends the periodic heartbeat, unless an append did its work. An append
+// that was not answered for a whole interval is asked about again, since it
+// or its answer may be lost.
 func (c *Core) beat(id uint64, p *progress) {
-	c.sendHeartbeat(id, p)
+	if !p.spoken || len(c.lead.reads.running) > 0 {
+		c.sendHeartbeat(id, p)
+	}
+	p.spoken = false
 	switch p.state {
 	case probing:
 		p.probed = false
@@ -169,6 +173,7 @@
 	if !ok {
 		return
 	}
+	p.spoken = true
 	c.send(id, appendMessage(&wirepb.AppendRequest{
 		PrevIndex: p.next - 1,
 		PrevTerm:  term,
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -18,7 +18,10 @@
 )
 
 // DefaultSegmentBytes is the size at which a segment is full.
-const DefaultSegmentBytes = 64 << 20
+const DefaultSegmentBytes = 16 << 20
+
+// keptBufferBytes bounds the buffer that is kept between appends.
+const keptBufferBytes = 1 << 20
 
 // Options of a log.
 type Options struct {
@@ -171,7 +174,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "marshal log frame")
 	}
-	l.buf = buf
+	if cap(buf) <= keptBufferBytes {
+		l.buf = buf
+	}
 	if len(buf)-frameHeadBytes > MaxFrameBytes {
 		return nil, eris.Wrapf(ErrTooLarge, "%d bytes", len(buf))
 	}
