Order members whose pre-votes cross

Cause: of 300 draws of the election timeouts the longest pause after a killed leader was 45 ticks with an election timeout of 10: members that time out together were all granted their question and split the votes, again and again. Change: a member that asks for pre-votes refuses another that asks with the same log and a smaller ID.

--- a/internal/quorum/chaos_test.go
+++ b/internal/quorum/chaos_test.go
@@ -190,13 +190,28 @@
 	}
 }
 
-// calm lets the members work for a while without faults in between.
+// target returns the leader or any member.
+func (x *chaos) target() *host {
+	if h := x.leader(); h != nil && x.between(0, 1) == 0 {
+		return h
+	}
+	return x.pick()
+}
+
+// calm lets the members work for a while without new faults. The clock of one
+// may stand still, as that of a stopped process.
 func (x *chaos) calm() {
+	var stopped uint64
+	if x.between(0, 1) == 0 {
+		stopped = x.target().id
+	}
 	for range x.between(1, 3*testElectionTicks) {
 		x.now++
 		for _, id := range x.ids {
 			if h := x.hosts[id]; h.core != nil {
-				h.core.Tick()
+				if id != stopped {
+					h.core.Tick()
+				}
 				x.drain(h)
 				x.sync(h, len(h.unsynced))
 				x.drain(h)
@@ -245,7 +260,7 @@
 }
 
 func (x *chaos) cutOne() {
-	away := x.pick().id
+	away := x.target().id
 	oneWay := x.between(0, 1) == 0
 	x.cut = func(from, to uint64) bool { return from == away || (to == away && !oneWay) }
 }
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -44,9 +44,11 @@
 	core *Core
 	app  appState
 	// hard, entries, first and snap are on disk; unsynced is not yet.
-	hard     HardState
-	entries  []*wirepb.Entry
-	snap     *saved
+	hard    HardState
+	entries []*wirepb.Entry
+	snap    *saved
+	// offered is the snapshot that came with the last offer.
+	offered  *saved
 	first    Membership
 	unsynced []Ready
 	ready    func(Ready)
@@ -69,17 +71,21 @@
 	// cut drops the messages between two members.
 	cut func(from, to uint64) bool
 	// delay is the time of a message, in rounds; nil is 1.
-	delay     func(from, to uint64) int
-	rounds    int
+	delay  func(from, to uint64) int
+	rounds int
+	// seed of the election timeouts.
+	seed      uint64
 	committed map[uint64]*wirepb.Entry
 	leaders   map[uint64]uint64
 	// autoSync syncs as soon as something is written.
 	autoSync bool
 }
 
-func newCluster(t failer, voters int) *cluster {
+func newCluster(t failer, voters int) *cluster { return newSeededCluster(t, voters, 7) }
+
+func newSeededCluster(t failer, voters int, seed uint64) *cluster {
 	c := &cluster{
-		t: t, hosts: map[uint64]*host{}, committed: map[uint64]*wirepb.Entry{}, leaders: map[uint64]uint64{},
+		t: t, seed: seed, hosts: map[uint64]*host{}, committed: map[uint64]*wirepb.Entry{}, leaders: map[uint64]uint64{},
 		cut: func(uint64, uint64) bool { return false }, autoSync: true,
 	}
 	var m Membership
@@ -111,7 +117,7 @@
 	}
 	core, err := New(Config{
 		ID: h.id, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks,
-		Seed: 7, MaxBatchBytes: 200, MaxInflight: 4,
+		Seed: c.seed, MaxBatchBytes: 200, MaxInflight: 4,
 	}, s)
 	if err != nil {
 		c.t.Fatalf("member %d: %v", h.id, err)
@@ -159,7 +165,7 @@
 func (c *cluster) take(h *host, r Ready) {
 	c.t.Helper()
 	if r.Snapshot != nil {
-		h.app = h.snap.state.clone()
+		h.app = h.offered.state.clone()
 	}
 	for _, e := range r.Committed {
 		c.check(h, e)
@@ -239,6 +245,7 @@
 	m := proto.Clone(l.m).(*wirepb.CoreMessage)
 	if s := m.GetInstallSnapshot(); s != nil {
 		s.Meta = l.snap.meta
+		h.offered = l.snap
 		if h.snap == nil || h.snap.meta.Index < l.snap.meta.Index {
 			h.snap = l.snap
 		}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -242,6 +242,10 @@
 	}
 }
 
+// Membership returns the configuration in force, committed or not. It is
+// shared with the core and must not be changed.
+func (c *Core) Membership() Membership { return c.membership() }
+
 // membership returns the configuration in force.
 func (c *Core) membership() Membership { return c.configs[len(c.configs)-1].membership }
 
--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,17 +46,26 @@
 	assert.Equal(t, h.app.applied, uint64(1))
 }
 
+// TestLeaderKilledWritesResume: within three election timeouts, for any draw
+// of the timeouts.
 func TestLeaderKilledWritesResume(t *testing.T) {
-	c := newCluster(t, 3)
-	old := c.elect()
-	c.propose(old, []byte("a"))
-	c.crash(old, 0)
-	ticks := 0
-	for c.leader() == nil || c.leader().core.commit < c.leader().core.lead.termStart {
-		c.tick(1)
-		ticks++
+	const seeds = 300
+	var all []int
+	for seed := range uint64(seeds) {
+		c := newSeededCluster(t, 3, seed)
+		old := c.elect()
+		c.propose(old, []byte("a"))
+		c.crash(old, 0)
+		ticks := 0
+		for c.leader() == nil || c.leader().core.commit < c.leader().core.lead.termStart {
+			c.tick(1)
+			ticks++
+		}
+		all = append(all, ticks)
 	}
-	assert.Assert(t, ticks <= 3*testElectionTicks, "%d ticks", ticks)
+	slices.Sort(all)
+	t.Logf("ticks without writes: median %d, longest %d; election timeout %d", all[seeds/2], all[seeds-1], testElectionTicks)
+	assert.Assert(t, all[seeds-1] <= 3*testElectionTicks)
 }
 
 func TestReturningMemberDisturbsNobody(t *testing.T) {
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -54,6 +54,9 @@
 func (c *Core) onVoteRequest(from, term uint64, r *wirepb.VoteRequest) {
 	free := term > c.term || c.vote == from || (c.vote == 0 && c.leader == 0)
 	granted := free && c.log.upToDate(r.LastIndex, r.LastTerm)
+	if r.Pre && c.ahead(from, r) {
+		granted = false
+	}
 	switch {
 	case r.Pre && granted && !c.hasLiveLeader():
 		c.sendIn(term, from, voteResponse(true, true))
@@ -66,6 +69,14 @@
 	}
 }
 
+// ahead tells whether this member asks for pre-votes too and comes before
+// another one that does. Without an order among them, members whose timeouts
+// end together would all be granted their question and split the votes.
+func (c *Core) ahead(of uint64, r *wirepb.VoteRequest) bool {
+	same := r.LastIndex == c.log.last() && r.LastTerm == c.log.lastTerm()
+	return c.role == member.preCandidate && same && c.cfg.ID > of
+}
+
 func (c *Core) onVoteResponse(from, term uint64, r *wirepb.VoteResponse) {
 	asked := c.role == member.candidate
 	if r.Pre {
--- a/internal/quorum/stall_test.go
+++ b/internal/quorum/stall_test.go
@@ -135,3 +135,22 @@
 		}
 	}
 }
+
+// TestTransferStall: a leader that hands over stops writes for no longer than
+// a heartbeat interval.
+func TestTransferStall(t *testing.T) {
+	c := newCluster(t, 3)
+	old := c.elect()
+	c.propose(old, []byte("a"))
+	old.core.TransferLeader(0)
+	_, _, err := old.core.Propose([]byte("b"))
+	assert.ErrorIs(t, err, ErrTransferring)
+	c.drain(old)
+	rounds := 0
+	for lead := c.leader(); lead == old || lead == nil || lead.core.commit < lead.core.lead.termStart; lead = c.leader() {
+		c.round()
+		rounds++
+	}
+	t.Logf("%d rounds without writes", rounds)
+	assert.Assert(t, rounds <= heartbeatRounds)
+}
