--- /dev/null
+++ b/internal/quorum/change_test.go
@@ -0,0 +1,137 @@
+package quorum
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// withLearner returns a cluster of three with learner 4, and its leader.
+func withLearner(t *testing.T) (*cluster, *host) {
+	t.Helper()
+	c := newCluster(t, 3)
+	lead := c.elect()
+	_, err := lead.core.ProposeChange(Change{Kind: AddLearner, Member: Member{ID: 4, Context: []byte("host")}})
+	assert.NilError(t, err)
+	c.add(4, Membership{})
+	c.drain(lead)
+	c.tick(3 * testHeartbeatTicks)
+	return c, lead
+}
+
+func TestLostHostIsReplaced(t *testing.T) {
+	c, lead := withLearner(t)
+	gone := lead.id%3 + 1
+	c.crash(c.hosts[gone], 0)
+	c.propose(lead, []byte("a"))
+	c.snapshot(lead, 0)
+	_, err := lead.core.ProposeChange(Change{Kind: Promote, Member: Member{ID: 4}, Replace: gone})
+	assert.NilError(t, err)
+	c.drain(lead)
+	c.settle()
+	now := lead.core.Membership()
+	assert.Assert(t, !now.Joint() && now.IsVoter(4) && !now.IsVoter(gone))
+	m, _ := now.find(4)
+	assert.Equal(t, string(m.Context), "host")
+	assert.Equal(t, c.hosts[4].core.Status().Role, "follower")
+
+	// A second loss right after the repair: the other two go on.
+	c.crash(lead, 0)
+	next := c.elect()
+	index := c.propose(next, []byte("b"))
+	assert.Equal(t, next.app.applied, index)
+}
+
+func TestRemovedLeaderHandsOver(t *testing.T) {
+	c, lead := withLearner(t)
+	_, err := lead.core.ProposeChange(Change{Kind: Promote, Member: Member{ID: 4}, Replace: lead.id})
+	assert.NilError(t, err)
+	c.drain(lead)
+	c.settle()
+	assert.Equal(t, lead.core.Status().Role, "learner")
+	next := c.leader()
+	assert.Assert(t, next != nil, "the new leader stands without a timeout")
+	c.propose(next, []byte("a"))
+}
+
+func TestChangesAreGuarded(t *testing.T) {
+	cases := map[string]struct {
+		before func(c *cluster, lead *host)
+		change Change
+		want   error
+	}{
+		"known":       {nil, Change{Kind: AddLearner, Member: Member{ID: 4}}, ErrMemberExists},
+		"unknown":     {nil, Change{Kind: Promote, Member: Member{ID: 9}}, ErrUnknownMember},
+		"voter":       {nil, Change{Kind: Promote, Member: Member{ID: 1}}, ErrMemberExists},
+		"no such one": {nil, Change{Kind: Remove, Member: Member{ID: 9}}, ErrUnknownMember},
+		"replace":     {nil, Change{Kind: Promote, Member: Member{ID: 4}, Replace: 9}, ErrUnknownMember},
+		"uncommitted": {
+			func(c *cluster, lead *host) {
+				_, _ = lead.core.ProposeChange(Change{Kind: AddLearner, Member: Member{ID: 5}})
+			},
+			Change{Kind: AddLearner, Member: Member{ID: 6}}, ErrChangeInProgress,
+		},
+		"intermediate": {
+			func(c *cluster, lead *host) {
+				_, _ = lead.core.ProposeChange(Change{Kind: Remove, Member: Member{ID: lead.id%3 + 1}})
+			},
+			Change{Kind: Remove, Member: Member{ID: 4}}, ErrChangeInProgress,
+		},
+		"transfer": {
+			func(c *cluster, lead *host) { lead.core.TransferLeader(0) },
+			Change{Kind: Remove, Member: Member{ID: 4}}, ErrTransferring,
+		},
+		"term not committed": {
+			func(c *cluster, lead *host) { lead.core.lead.termStart = lead.core.commit + 1 },
+			Change{Kind: Remove, Member: Member{ID: 4}}, ErrTermNotCommitted,
+		},
+		"learner silent": {
+			func(c *cluster, _ *host) { c.crash(c.hosts[4], 0); c.tick(testElectionTicks) },
+			Change{Kind: Promote, Member: Member{ID: 4}}, ErrNotCaughtUp,
+		},
+		"learner behind": {
+			func(c *cluster, lead *host) {
+				c.cut = func(_, to uint64) bool { return to == 4 }
+				c.propose(lead, []byte("a"))
+				c.tick(2 * testHeartbeatTicks)
+			},
+			Change{Kind: Promote, Member: Member{ID: 4}}, ErrNotCaughtUp,
+		},
+		"no quorum left": {
+			func(c *cluster, lead *host) { c.crash(c.hosts[lead.id%3+1], 0); c.tick(testElectionTicks - 1) },
+			Change{Kind: Remove, Member: Member{ID: 0}}, ErrUnsafeChange,
+		},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, lead := withLearner(t)
+			if x.before != nil {
+				x.before(c, lead)
+			}
+			if x.change.Member.ID == 0 {
+				x.change.Member.ID = (lead.id+1)%3 + 1
+			}
+			last := lead.core.log.last()
+			_, err := lead.core.ProposeChange(x.change)
+			assert.ErrorIs(t, err, x.want)
+			assert.Equal(t, lead.core.log.last(), last)
+		})
+	}
+}
+
+// TestReplacedConfigurationIsNoLongerInForce: a configuration is in force
+// from the log on, and gone when another leader's entry takes its place.
+func TestReplacedConfigurationIsNoLongerInForce(t *testing.T) {
+	c := alone(t)
+	before := c.Membership()
+	entry := &wirepb.Entry{
+		Index: 3, Term: 4, Kind: wirepb.EntryKind_ENTRY_KIND_MEMBERSHIP, Membership: voters(2, 3, 4).Proto(),
+	}
+	step(t, c, 2, 4, appendMessage(&wirepb.AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: []*wirepb.Entry{entry}}))
+	assert.Assert(t, !c.Membership().IsVoter(1))
+	assert.Assert(t, c.mayStand(), "the removal is not committed")
+	step(t, c, 3, 5, appendMessage(&wirepb.AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: []*wirepb.Entry{{Index: 3, Term: 5}}}))
+	assert.DeepEqual(t, c.Membership(), before)
+}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -58,7 +58,7 @@
 		granted = false
 	}
 	switch {
-	case r.Pre && granted && !c.hasLiveLeader():
+	case r.Pre && granted:
 		c.sendIn(term, from, voteResponse(true, true))
 	case r.Pre || !granted:
 		c.send(from, voteResponse(r.Pre, false))
--- a/internal/quorum/rules_test.go
+++ b/internal/quorum/rules_test.go
@@ -114,3 +114,7 @@
 	}
 	assert.Equal(t, Membership{}.matched(func(uint64) uint64 { return 9 }), uint64(0))
 }
+
+func heartbeatResponse(round uint64) *wirepb.HeartbeatResponse {
+	return &wirepb.HeartbeatResponse{Round: round}
+}
