--- a/internal/wal/read.go
+++ b/internal/wal/read.go
@@ -52,6 +52,15 @@
 	return nil
 }
 
+// anchor tells where the first entry's index comes from.
+type anchor uint8
+
+const (
+	nowhere anchor = iota
+	atEntry
+	atSnapshot
+)
+
 // reader replays the segments of a folder.
 type reader struct {
 	dir      string
@@ -59,9 +68,10 @@
 	sequence uint64
 	hard     *wirepb.HardState
 	entries  []*wirepb.Entry
-	// floor is the index that the next entry must follow when there is none.
-	floor    uint64
-	anchored bool
+	// floor is the index before the first entry: that of a snapshot, or what
+	// the oldest segment left begins with.
+	floor  uint64
+	anchor anchor
 	// size and cut belong to the last segment: its whole part and the rest.
 	size, cut int64
 }
@@ -156,7 +166,7 @@
 		}
 		if rec.Snapshot != nil {
 			r.entries = nil
-			r.floor, r.anchored = rec.Snapshot.Index, true
+			r.floor, r.anchor = rec.Snapshot.Index, atSnapshot
 		}
 		for _, e := range rec.Entries {
 			if err := r.add(e); err != nil {
@@ -170,8 +180,11 @@
 // add appends an entry; one at an index that is there already replaces it and
 // all that follow.
 func (r *reader) add(e *wirepb.Entry) error {
-	if !r.anchored {
-		r.floor, r.anchored = e.Index-1, true
+	// The oldest segment left may begin with entries that were replaced from
+	// an index on whose first version went with a released segment.
+	if r.anchor == nowhere || (r.anchor == atEntry && e.Index <= r.floor) {
+		r.floor, r.anchor = e.Index-1, atEntry
+		r.entries = nil
 	}
 	next := r.floor + uint64(len(r.entries)) + 1
 	if e.Index > next || e.Index <= r.floor {
