--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -68,13 +68,24 @@
 	assert.Assert(t, all[seeds-1] <= 3*testElectionTicks)
 }
 
+// TestReturningMemberDisturbsNobody: neither with an old log nor with one that
+// could win an election.
 func TestReturningMemberDisturbsNobody(t *testing.T) {
+	for _, writes := range []int{0, 1} {
+		returnAfter(t, writes)
+	}
+}
+
+func returnAfter(t *testing.T, writes int) {
+	t.Helper()
 	c := newCluster(t, 3)
 	lead := c.elect()
 	away := lead.id%3 + 1
 	c.cut = func(from, to uint64) bool { return from == away || to == away }
 	c.tick(20 * testElectionTicks)
-	c.propose(lead, []byte("a"))
+	for range writes {
+		c.propose(lead, []byte("a"))
+	}
 	term := lead.core.term
 	c.cut = func(uint64, uint64) bool { return false }
 	c.tick(5 * testElectionTicks)
