The whole path as separate processes

Cause: the roles existed one by one; a job had not yet gone through them.

Change: a node runs the roles that its settings name; serve and demo; a harness that starts control members, entries, agents and stand-in minions as processes with relays between them, kills, freezes and cuts them, and judges the minions' records against what callers were told.

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -22,6 +22,7 @@
 //
 //go:embed ledger_job.yaml
 var LedgerJob []byte
+
 // Outlier is the chart of an agent as an entry judges it.
 //
 //go:embed outlier.yaml
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,8 @@
 
 // grammar is the program's command line.
 type grammar struct {
+	Serve    serveCommand    `cmd:"" help:"Run the roles that a settings file names."`
+	Demo     demoCommand     `cmd:"" help:"Run every role in one process and one job through them."`
 	Minion   minionCommand   `cmd:"" help:"Run the stand-in minion."`
 	Bench    benchCommand    `cmd:"" help:"Load running entries and report lag, failures and messages."`
 	Check    checkCommand    `cmd:"" help:"Print every finding of a settings file; start nothing."`
--- /dev/null
+++ b/internal/cli/demo.go
@@ -0,0 +1,187 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"endivewing/api/job"
+	"endivewing/internal/apiclient"
+	"endivewing/internal/config"
+	"endivewing/internal/node"
+	"endivewing/internal/observe"
+	"endivewing/internal/standin"
+)
+
+type demoCommand struct {
+	Keep    bool `help:"Go on serving after the answer, until a signal."`
+	Verbose bool `help:"Show the logs."`
+}
+
+const (
+	demoTasks = 12
+	demoSlots = 4
+	// demoPatience bounds the start and the job of the demo.
+	demoPatience = 60 * time.Second
+)
+
+// demo is everything that runs in the demo's process.
+type demo struct {
+	o      *output
+	log    logr.Logger
+	folder string
+	minion *standin.Minion
+	node   *node.Node
+	client *apiclient.Client
+}
+
+// Run serves every role in this process, submits a job and prints its answer.
+func (c *demoCommand) Run(ctx context.Context, o *output) error {
+	d := &demo{o: o, log: logr.Discard()}
+	if c.Verbose {
+		log, err := observe.NewLog(o.err, "debug")
+		if err != nil {
+			return err
+		}
+		d.log = log
+	}
+	defer d.stop()
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	if err := d.runJob(ctx); err != nil {
+		return err
+	}
+	if c.Keep {
+		fmt.Fprintf(o.out, "serving on %s until a signal\n", d.client.Base)
+		<-ctx.Done()
+	}
+	return nil
+}
+
+func (d *demo) start(ctx context.Context) (err error) {
+	if d.folder, err = os.MkdirTemp("", "endivewing-demo-"); err != nil {
+		return eris.Wrap(err, "make data folder")
+	}
+	if d.minion, err = standin.Start(standin.Options{Slots: demoSlots}); err != nil {
+		return err
+	}
+	s, err := d.settings()
+	if err != nil {
+		return err
+	}
+	if d.node, err = node.Start(ctx, s, d.log); err != nil {
+		return err
+	}
+	d.client = &apiclient.Client{Base: "http://" + d.node.Addresses()[config.RoleEntry]}
+	fmt.Fprintf(d.o.out, "control, entry, agent and a stand-in minion with %d slots; entry at %s\n", demoSlots, d.client.Base)
+	return d.awaitReady(ctx)
+}
+
+// settings are the defaults with every role on loopback.
+func (d *demo) settings() (*config.Settings, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	s := config.Default()
+	s.Cluster, s.Name, s.Zone = "demo", "demo", "here"
+	s.Roles = []string{config.RoleControl, config.RoleEntry, config.RoleAgent}
+	s.Members = []string{address}
+	s.TLS.Insecure = true
+	s.Control.ID = 1
+	s.Control.Listen = address
+	s.Control.Data = filepath.Join(d.folder, "control")
+	s.Control.Election = config.Duration(200 * time.Millisecond)
+	s.Control.Members = []config.Member{{ID: 1, Name: "demo", Address: address, Zone: "here"}}
+	s.Entry.DrainDelay = 0
+	s.Agent.Minion = d.minion.URL()
+	s.Agent.Services = []string{"default"}
+	s.Agent.Slots = demoSlots
+	return &s, nil
+}
+
+// freeAddress asks the kernel for a free loopback port. The control member
+// must know its own address before it listens.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func (d *demo) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoPatience)
+	defer cancel()
+	for {
+		err := d.client.Get(ctx, "/readyz", nil)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(err, "the entry did not become ready")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func (d *demo) runJob(ctx context.Context) error {
+	s, ideal := demoSubmission()
+	began := time.Now()
+	j, err := d.client.Submit(ctx, s, 0)
+	if err != nil {
+		return clientError(err)
+	}
+	fmt.Fprintf(d.o.out, "job %s accepted durably after %s: %d tasks\n", j.ID, time.Since(began).Round(time.Millisecond), j.Tasks)
+	for j.State == job.Open && time.Since(began) < demoPatience {
+		fmt.Fprintf(d.o.out, "  %5s  %d of %d tasks started\n", time.Since(began).Round(time.Millisecond), d.minion.Starts(), demoTasks)
+		if j, err = d.client.Job(ctx, j.ID, 100*time.Millisecond); err != nil {
+			return clientError(err)
+		}
+	}
+	took := time.Since(began)
+	if err := d.o.showJob("table", j); err != nil {
+		return err
+	}
+	fmt.Fprintf(d.o.out, "answered after %s; ideal %s; lag %s\n",
+		took.Round(time.Millisecond), ideal, (took - ideal).Round(time.Millisecond))
+	return nil
+}
+
+// demoSubmission returns a job and the fastest time in which the demo's slots
+// could run it.
+func demoSubmission() (*job.Submission, time.Duration) {
+	s := &job.Submission{SubmissionID: uuid.NewString(), Team: "demo", Service: "default"}
+	const run = 100 * time.Millisecond
+	for i := range demoTasks {
+		p := standin.Payload{SleepMS: float64(run.Milliseconds()), Echo: fmt.Sprintf("proof %d", i+1)}
+		data, err := json.Marshal(p)
+		if err != nil {
+			panic(err)
+		}
+		s.Tasks = append(s.Tasks, job.Task{Data: data, DeclaredMs: uint32(run.Milliseconds())})
+	}
+	return s, run * (demoTasks / demoSlots)
+}
+
+func (d *demo) stop() {
+	ctx := context.Background()
+	if d.node != nil {
+		d.node.Stop(ctx)
+	}
+	if d.minion != nil {
+		d.minion.Stop()
+	}
+	_ = os.RemoveAll(d.folder)
+}
--- /dev/null
+++ b/scenarios/callers_test.go
@@ -0,0 +1,97 @@
+package scenarios
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"endivewing/api/job"
+	"endivewing/internal/apiclient"
+	"endivewing/internal/standin"
+)
+
+// load is a set of callers that submit jobs while a script goes on.
+type load struct {
+	jobs    int
+	tasks   int // tasks of each job, at most; at least one
+	sleepMS int // longest run time of a task
+	every   time.Duration
+	seed    uint64
+	// fail is the share of tasks that end without a result, in percent.
+	fail int
+}
+
+// caller is one submission and what its caller was told in the end.
+type caller struct {
+	submission *job.Submission
+	answer     *job.Job
+	// refused is set when the last word was a refusal.
+	refused *job.Error
+	// err is set when the caller gave up without any word.
+	err error
+}
+
+// triesOfACaller bounds how often a caller comes back with the same ID.
+const triesOfACaller = 40
+
+// run submits all jobs and waits until each caller has its last word.
+func (l load) run(name string, entries []*apiclient.Client) []*caller {
+	random := rand.New(rand.NewPCG(l.seed, 1))
+	callers := make([]*caller, l.jobs)
+	var wg sync.WaitGroup
+	for i := range callers {
+		callers[i] = &caller{submission: l.submission(random, fmt.Sprintf("%s-%d", name, i))}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			callers[i].insist(entries, i)
+		}()
+		time.Sleep(l.every)
+	}
+	wg.Wait()
+	return callers
+}
+
+func (l load) submission(random *rand.Rand, id string) *job.Submission {
+	s := &job.Submission{SubmissionID: id, Team: "school", Service: "default", TimeoutMs: 60000}
+	for t := range 1 + random.IntN(l.tasks) {
+		p := standin.Payload{
+			SleepMS: float64(random.IntN(l.sleepMS + 1)),
+			Echo:    fmt.Sprintf("%s/%d:%d", id, t, random.Uint64()),
+			Fail:    random.IntN(100) < l.fail,
+		}
+		data, err := json.Marshal(p)
+		if err != nil {
+			panic(err)
+		}
+		s.Tasks = append(s.Tasks, job.Task{Data: data})
+	}
+	return s
+}
+
+// insist submits at one entry after another until there is a last word: a
+// whole answer, a failure, or a refusal after all tries.
+func (c *caller) insist(entries []*apiclient.Client, first int) {
+	for try := range triesOfACaller {
+		entry := entries[(first+try)%len(entries)]
+		j, err := entry.Submit(context.Background(), c.submission, 5*time.Second)
+		c.refused, c.err = nil, nil
+		if err == nil && j.State != job.Open {
+			c.answer = j
+			return
+		}
+		if err != nil && !errors.As(err, &c.refused) {
+			c.err = err
+		}
+		if err != nil {
+			time.Sleep(time.Duration(100+try*20) * time.Millisecond)
+		}
+	}
+	if c.err == nil && c.refused == nil {
+		c.err = errors.New("the job is still open after all tries")
+	}
+}
--- /dev/null
+++ b/scenarios/scenarios_test.go
@@ -0,0 +1,193 @@
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"endivewing/internal/cli"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"endivewing": func() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// stageKey finds the script's stage in its environment.
+type stageKey struct{}
+
+// stage is what one script works on.
+type stage struct {
+	fleet   *fleet
+	loads   map[string]chan []*caller
+	callers []*caller
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			s := &stage{fleet: newFleet(e.WorkDir), loads: map[string]chan []*caller{}}
+			e.Values[stageKey{}] = s
+			e.Defer(s.fleet.close)
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"fleet":     cmdFleet,
+			"load":      cmdLoad,
+			"join-load": cmdJoinLoad,
+			"judge":     cmdJudge,
+			"expect":    cmdExpect,
+			"start":     onEach(func(f *fleet, name string) error { return f.start(name) }),
+			"crash":     onEach(func(f *fleet, name string) error { return f.nodes[name].kill() }),
+			"shutdown":  onEach(func(f *fleet, name string) error { return f.nodes[name].stop() }),
+			"freeze":    onEach((*fleet).freeze),
+			"thaw":      onEach((*fleet).thaw),
+			"cut":       onEach(func(f *fleet, name string) error { f.setCut(name, true); return nil }),
+			"heal":      onEach(func(f *fleet, name string) error { f.setCut(name, false); return nil }),
+			"wipe": onEach(func(f *fleet, name string) error {
+				return os.RemoveAll(filepath.Join(f.dir, name+".data"))
+			}),
+			"pause": cmdPause,
+		},
+	})
+}
+
+func stageOf(ts *testscript.TestScript) *stage { return ts.Value(stageKey{}).(*stage) }
+
+// onEach makes a command that does one thing to each named process.
+func onEach(do func(f *fleet, name string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		f := stageOf(ts).fleet
+		for _, name := range args {
+			if f.nodes[name] == nil {
+				ts.Fatalf("no process %s", name)
+			}
+			if err := do(f, name); err != nil {
+				ts.Fatalf("%s: %v", name, err)
+			}
+		}
+	}
+}
+
+// numbers reads arguments such as jobs=20 over defaults.
+func numbers(ts *testscript.TestScript, args []string, defaults map[string]int) map[string]int {
+	for _, arg := range args {
+		key, text, _ := strings.Cut(arg, "=")
+		n, err := strconv.Atoi(text)
+		if _, known := defaults[key]; !known || err != nil {
+			ts.Fatalf("bad argument %q", arg)
+		}
+		defaults[key] = n
+	}
+	return defaults
+}
+
+// cmdFleet starts a deployment: fleet control=3 entry=2 agent=3 slots=8.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8})
+	f := stageOf(ts).fleet
+	err := f.launch(size{control: n["control"], entry: n["entry"], agent: n["agent"], slots: n["slots"]})
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	for _, name := range f.names() {
+		variable := strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+		ts.Setenv(variable, "http://"+f.link(anyone, name, "entry").address())
+		ts.Setenv("DEBUG_"+variable, "http://"+f.link(anyone, name, "debug").address())
+	}
+}
+
+// cmdLoad starts callers in the background: load NAME jobs=50 tasks=5 ....
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	s := stageOf(ts)
+	n := numbers(ts, args[1:], map[string]int{"jobs": 40, "tasks": 6, "sleep_ms": 40, "every_ms": 10, "fail": 0, "seed": 1})
+	l := load{
+		jobs:    n["jobs"],
+		tasks:   n["tasks"],
+		sleepMS: n["sleep_ms"],
+		every:   time.Duration(n["every_ms"]) * time.Millisecond,
+		seed:    uint64(n["seed"]),
+		fail:    n["fail"],
+	}
+	done := make(chan []*caller, 1)
+	s.loads[args[0]] = done
+	entries := s.fleet.entries()
+	go func() { done <- l.run(args[0], entries) }()
+}
+
+// cmdJoinLoad waits until each caller of the named loads has its last word.
+func cmdJoinLoad(ts *testscript.TestScript, _ bool, args []string) {
+	s := stageOf(ts)
+	for _, name := range args {
+		callers := <-s.loads[name]
+		s.callers = append(s.callers, callers...)
+		ts.Logf("%s: %s", name, summary(callers))
+	}
+}
+
+// summary counts the last words.
+func summary(callers []*caller) string {
+	counts := map[string]int{}
+	for _, c := range callers {
+		counts[c.word()]++
+	}
+	return fmt.Sprint(counts)
+}
+
+// word is the caller's last word: complete, failed:reason, refused:code or none.
+func (c *caller) word() string {
+	switch {
+	case c.answer != nil && c.answer.Failure != nil:
+		return "failed:" + c.answer.Failure.Reason
+	case c.answer != nil:
+		return string(c.answer.State)
+	case c.refused != nil:
+		return "refused:" + string(c.refused.Code)
+	default:
+		return "none"
+	}
+}
+
+// cmdJudge fails the script on any breach of a promise.
+func cmdJudge(ts *testscript.TestScript, _ bool, _ []string) {
+	s := stageOf(ts)
+	breaches, err := judge(s.fleet.minions, s.callers)
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if len(breaches) > 0 {
+		ts.Fatalf("promises broken:\n%s", strings.Join(breaches, "\n"))
+	}
+	ts.Logf("judged %d callers", len(s.callers))
+}
+
+// cmdExpect holds every last word against the allowed ones:
+// expect complete failed:agent_lost.
+func cmdExpect(ts *testscript.TestScript, _ bool, args []string) {
+	for _, c := range stageOf(ts).callers {
+		allowed := false
+		for _, word := range args {
+			allowed = allowed || word == c.word()
+		}
+		if !allowed {
+			ts.Fatalf("%s: %s is not one of %v", c.submission.SubmissionID, c.word(), args)
+		}
+	}
+}
+
+// cmdPause lets a fault last: pause 2s. No verdict depends on it.
+func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	time.Sleep(d)
+}
--- /dev/null
+++ b/scenarios/settings_test.go
@@ -0,0 +1,69 @@
+package scenarios
+
+import (
+	"fmt"
+	"strings"
+)
+
+// commonSettings are the lines that every process of a fleet has.
+func (f *fleet) commonSettings(name, role, zone string) string {
+	return fmt.Sprintf(`cluster: scenario
+name: %s
+zone: %s
+roles: [%s]
+stop_timeout: 30s
+tls: {insecure_loopback: true}
+log: {level: debug}
+`, name, zone, role)
+}
+
+// zoneOf spreads processes of a role over three zones.
+func zoneOf(i int) string { return string(rune('a' + i%3)) }
+
+// controlAddresses lists the members as one process sees them.
+func (f *fleet) controlAddresses(from string) string {
+	var quoted []string
+	for _, m := range f.members {
+		quoted = append(quoted, fmt.Sprintf("%q", f.link(from, m.name, "control").address()))
+	}
+	return fmt.Sprintf("control_addresses: [%s]\n", strings.Join(quoted, ", "))
+}
+
+func (f *fleet) controlSettings(m member, join bool) string {
+	var peers strings.Builder
+	for _, peer := range f.members {
+		address := f.link(m.name, peer.name, "control").address()
+		fmt.Fprintf(&peers, "    - {id: %d, name: %s, address: %q, zone: %s}\n", peer.id, peer.name, address, zoneOf(peer.id))
+	}
+	return f.commonSettings(m.name, "control", zoneOf(m.id)) + fmt.Sprintf(`control:
+  id: %d
+  listen: 127.0.0.1:0
+  data: %s
+  join: %t
+  lease: 3s
+  election: 500ms
+  snapshot_entries: 300
+  members:
+%s`, m.id, m.name+".data", join, peers.String())
+}
+
+func (f *fleet) agentSettings(i, slots int) string {
+	name := fmt.Sprintf("agent-%d", i)
+	minion := f.link(name, fmt.Sprintf("minion-%d", i), "minion")
+	return f.commonSettings(name, "agent", zoneOf(i)) + f.controlAddresses(name) + fmt.Sprintf(`agent:
+  listen: 127.0.0.1:0
+  advertise: %s
+  minion: http://%s
+  services: [default]
+  slots: %d
+`, f.link(anyone, name, "agent").address(), minion.address(), slots)
+}
+
+func (f *fleet) entrySettings(i int) string {
+	name := fmt.Sprintf("entry-%d", i)
+	return f.commonSettings(name, "entry", zoneOf(i)) + f.controlAddresses(name) + fmt.Sprintf(`entry:
+  listen: 127.0.0.1:0
+  advertise: %s
+  max_wait: 60s
+`, f.link(anyone, name, "entry").address())
+}
