--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -1,16 +1,31 @@
 package quorum
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
+// TestCommitsAtEveryMember: an append stands for the heartbeat of its
+// interval, and the next heartbeat tells the rest of the commit index.
 func TestCommitsAtEveryMember(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.elect()
+	c.tick(2 * testHeartbeatTicks)
 	index := c.propose(lead, []byte("a"), []byte("b"))
+	heartbeats := 0
+	lead.ready = func(r Ready) {
+		for _, m := range r.Messages {
+			if m.GetHeartbeat() != nil {
+				heartbeats++
+			}
+		}
+	}
+	c.tick(testHeartbeatTicks)
+	assert.Equal(t, heartbeats, 0)
 	c.tick(testHeartbeatTicks)
+	assert.Equal(t, heartbeats, 2)
 	for _, h := range c.hosts {
 		assert.Equal(t, h.app.applied, index+1)
 	}
@@ -31,17 +46,26 @@
 	assert.Equal(t, h.app.applied, uint64(1))
 }
 
+// TestLeaderKilledWritesResume: within three election timeouts, for any draw
+// of the timeouts.
 func TestLeaderKilledWritesResume(t *testing.T) {
-	c := newCluster(t, 3)
-	old := c.elect()
-	c.propose(old, []byte("a"))
-	c.crash(old, 0)
-	ticks := 0
-	for c.leader() == nil || c.leader().core.commit < c.leader().core.lead.termStart {
-		c.tick(1)
-		ticks++
+	const seeds = 300
+	var all []int
+	for seed := range uint64(seeds) {
+		c := newSeededCluster(t, 3, seed)
+		old := c.elect()
+		c.propose(old, []byte("a"))
+		c.crash(old, 0)
+		ticks := 0
+		for c.leader() == nil || c.leader().core.commit < c.leader().core.lead.termStart {
+			c.tick(1)
+			ticks++
+		}
+		all = append(all, ticks)
 	}
-	assert.Assert(t, ticks <= 3*testElectionTicks, "%d ticks", ticks)
+	slices.Sort(all)
+	t.Logf("ticks without writes: median %d, longest %d; election timeout %d", all[seeds/2], all[seeds-1], testElectionTicks)
+	assert.Assert(t, all[seeds-1] <= 3*testElectionTicks)
 }
 
 func TestReturningMemberDisturbsNobody(t *testing.T) {
