--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -24,6 +24,7 @@
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "5")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
 	code := m.Run()
 	if code == 0 {
 		if err := goleak.Find(); err != nil {
