Control: benchmarks; bounded records; syncs without hold near a lease's end

A record over 8 MiB is refused: it would not fit in a frame to another member, and the log could not go on. A follower whose lease needs renewal soon asks for an answer without a hold, so that a leader that stands still costs no lease.

--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -34,7 +34,7 @@
 		Leader:       status.Leader,
 		Quorum:       status,
 		Ledger:       l.state.Counts(),
-		Members:      l.members(),
+		Members:      l.members,
 		DiskFull:     l.diskFull,
 		Stopping:     !l.stopping.IsZero(),
 		Proposals:    len(l.proposals.open),
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -32,6 +32,7 @@
 	applied     uint64
 	appliedTerm uint64
 	leadership  quorum.Leadership
+	members     []Peer // of the configuration in force
 
 	proposals proposals
 	reads     reads
@@ -309,7 +310,7 @@
 	if l.leadership.Leader == 0 || l.leadership.Self {
 		return ""
 	}
-	for _, m := range l.members() {
+	for _, m := range l.members {
 		if m.ID == l.leadership.Leader {
 			return m.Address
 		}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -62,7 +62,7 @@
 
 // recordDisks proposes the disks of members that have none in the ledger.
 func (l *loop) recordDisks() {
-	for _, m := range l.members() {
+	for _, m := range l.members {
 		disk := l.disks.heard[m.ID]
 		if disk == 0 || l.state.Disk(m.ID) != 0 {
 			continue
@@ -73,9 +73,15 @@
 	}
 }
 
-// members are those of the configuration in force, with the addresses of the
-// settings where they tell them.
-func (l *loop) members() []Peer {
+// linkMembers takes in a new configuration.
+func (l *loop) linkMembers() {
+	l.members = l.readMembers()
+	l.p.peers.update(l.members)
+}
+
+// readMembers returns the members of the configuration in force, with the
+// addresses of the settings where they tell them.
+func (l *loop) readMembers() []Peer {
 	var all []Peer
 	for _, m := range l.core.Status().Membership.Members() {
 		p := decodePeer(m)
@@ -89,8 +95,6 @@
 	return all
 }
 
-func (l *loop) linkMembers() { l.p.peers.update(l.members()) }
-
 // changes are the membership requests that wait for their configuration.
 type changes struct {
 	waiting []change
@@ -210,7 +214,7 @@
 func (l *loop) replyMembership(from caller) {
 	status := l.core.Status()
 	r := &wirepb.MembershipResponse{Leader: status.Leader, Term: status.Term, Commit: status.Commit}
-	for _, m := range l.members() {
+	for _, m := range l.members {
 		r.Members = append(r.Members, &wirepb.Member{
 			Id: m.ID, Name: m.Name, Address: m.Address, Zone: m.Zone,
 			Learner: status.Membership.IsLearner(m.ID), Disk: l.state.Disk(m.ID),
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -9,6 +9,10 @@
 	"endivewing/internal/wire"
 )
 
+// maxCommandBytes bounds one record, so that it fits in a frame to another
+// member with room to spare.
+const maxCommandBytes = 8 << 20
+
 // Reasons of faults besides those of the ledger.
 const (
 	reasonNotLeader    = "not_leader"
@@ -20,6 +24,7 @@
 	reasonSnapshot     = "replaced_by_snapshot"
 	reasonEnded        = "incarnation_ended"
 	reasonUnknown      = "unknown_request"
+	reasonTooLarge     = "record_too_large"
 	reasonOtherDisk    = "member_has_another_disk"
 )
 
@@ -93,5 +98,9 @@
 		from.fault(wirepb.FaultCode_FAULT_CODE_INVALID, err.Error(), "")
 		return
 	}
+	if len(data) > maxCommandBytes {
+		from.fault(wirepb.FaultCode_FAULT_CODE_INVALID, reasonTooLarge, "")
+		return
+	}
 	p.post(command{from: from, cmd: cmd, data: data})
 }
--- /dev/null
+++ b/internal/control/spread_test.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/controlclient"
+	"endivewing/internal/wal"
+)
+
+func median(all []time.Duration) time.Duration {
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// BenchmarkLightLoad compares the time of one accept with its parts: a round
+// trip to a member's loop and a sync of the same disk.
+func BenchmarkLightLoad(b *testing.B) {
+	c := startCluster(b, 3, func(o *Options) { o.Tick = 50 * time.Millisecond })
+	client := c.client()
+	owner := register(b, client, "a")
+	log, _, err := wal.Open(b.TempDir(), wal.Options{})
+	assert.NilError(b, err)
+	defer func() { _ = log.Close() }()
+	var trips, syncs, accepts []time.Duration
+	timed := func(into *[]time.Duration, do func() error) {
+		began := time.Now()
+		assert.NilError(b, do())
+		*into = append(*into, time.Since(began))
+	}
+	for i := range b.N {
+		timed(&trips, func() error {
+			_, err := client.Membership(context.Background(), &wirepb.MembershipRequest{
+				Action: wirepb.MembershipAction_MEMBERSHIP_ACTION_STATUS,
+			})
+			return err
+		})
+		timed(&syncs, func() error {
+			return log.Append(&wirepb.LogRecord{Entries: []*wirepb.Entry{{Index: uint64(i + 1), Data: make([]byte, 200)}}})
+		})
+		timed(&accepts, func() error {
+			_, err := client.Accept(context.Background(), acceptRequest(owner, fmt.Sprint("s", i)))
+			return err
+		})
+	}
+	trip, sync, accept := median(trips), median(syncs), median(accepts)
+	b.ReportMetric(float64(trip.Microseconds()), "trip_us")
+	b.ReportMetric(float64(sync.Microseconds()), "sync_us")
+	b.ReportMetric(float64(accept.Microseconds()), "accept_us")
+	b.ReportMetric(float64(accept)/float64(2*trip+sync), "accept/(2trips+sync)")
+}
+
+// BenchmarkChangesToFollowers counts what one change costs when 40 processes
+// follow 1,000 resources.
+func BenchmarkChangesToFollowers(b *testing.B) {
+	for _, followers := range []int{10, 20, 40} {
+		b.Run(fmt.Sprint("followers=", followers), func(b *testing.B) { benchmarkChanges(b, followers) })
+	}
+}
+
+func benchmarkChanges(b *testing.B, followers int) {
+	const resources = 1000
+	scope := tally.NewTestScope("", nil)
+	c := startCluster(b, 3, func(o *Options) {
+		o.Tick = 50 * time.Millisecond
+		o.Scope = scope
+	})
+	client := c.client()
+	apply := func(i int) uint64 {
+		r, err := client.Apply(context.Background(), &wirepb.ApplyRequest{
+			RequestId: fmt.Sprint("r", i), AnyRevision: true,
+			Resource: &wirepb.Resource{Kind: "endpoint", Name: fmt.Sprint("endpoint", i%resources), Spec: make([]byte, 200)},
+		})
+		assert.NilError(b, err)
+		return r.Resource.Revision
+	}
+	for i := range resources {
+		apply(i)
+	}
+	var all []*controlclient.Follower
+	for i := range followers {
+		// A long hold leaves only the answers that carry changes.
+		f := controlclient.Follow(context.Background(), c.client(), controlclient.FollowOptions{
+			Instance: entryInstance(fmt.Sprint("f", i)), Log: logr.Discard(), Hold: 4 * time.Second,
+		})
+		defer f.Close()
+		all = append(all, f)
+	}
+	reached := func(revision uint64) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(all, func(f *controlclient.Follower) bool { return f.View().Revision < revision })
+		}
+	}
+	until(b, "all follow", reached(apply(resources)))
+	sent, bytes := syncAnswers(scope)
+	b.ResetTimer()
+	for i := range b.N {
+		until(b, "in force", reached(apply(resources+1+i)))
+	}
+	b.StopTimer()
+	sentAfter, bytesAfter := syncAnswers(scope)
+	b.ReportMetric(float64(sentAfter-sent)/float64(b.N), "messages/change")
+	b.ReportMetric(float64(bytesAfter-bytes)/float64(b.N), "bytes/change")
+}
+
+// syncAnswers are the messages and bytes that carried configuration.
+func syncAnswers(scope tally.TestScope) (messages, bytes int64) {
+	for _, counter := range scope.Snapshot().Counters() {
+		if counter.Tags()["kind"] != "SyncResponse" {
+			continue
+		}
+		switch {
+		case strings.HasSuffix(counter.Name(), "sent"):
+			messages += counter.Value()
+		case strings.HasSuffix(counter.Name(), "sent_bytes"):
+			bytes += counter.Value()
+		}
+	}
+	return messages, bytes
+}
+
+// BenchmarkRestart measures a member that missed changes: the time to read its
+// disk and the time to catch up after that.
+func BenchmarkRestart(b *testing.B) {
+	const changes = 10_000
+	for _, fromSnapshot := range []bool{false, true} {
+		b.Run(fmt.Sprint("snapshot=", fromSnapshot), func(b *testing.B) { benchmarkRestart(b, changes, fromSnapshot) })
+	}
+}
+
+func benchmarkRestart(b *testing.B, changes int, fromSnapshot bool) {
+	c := startCluster(b, 3, func(o *Options) {
+		o.Tick = 50 * time.Millisecond
+		if fromSnapshot {
+			o.SnapshotEntries = uint64(changes) / 2
+			o.RetainEntries = 1
+		}
+	})
+	client := c.client()
+	index := 0
+	change := func() {
+		_, err := client.Apply(context.Background(), &wirepb.ApplyRequest{
+			RequestId: fmt.Sprint("r", index), AnyRevision: true,
+			Resource: &wirepb.Resource{Kind: "endpoint", Name: fmt.Sprint("endpoint", index%1000), Spec: make([]byte, 200)},
+		})
+		assert.NilError(b, err)
+		index++
+	}
+	var opened, caughtUp time.Duration
+	for range b.N {
+		behind := c.leader()%3 + 1
+		c.kill(behind)
+		for range changes {
+			change()
+		}
+		began := time.Now()
+		c.start(behind, false)
+		opened += time.Since(began)
+		goal := c.dump(c.leader()).Quorum.Commit
+		began = time.Now()
+		until(b, "caught up", func() bool { return c.dump(behind).Quorum.Applied >= goal })
+		caughtUp += time.Since(began)
+	}
+	b.ReportMetric(float64(opened.Milliseconds())/float64(b.N), "open_ms")
+	b.ReportMetric(float64(caughtUp.Milliseconds())/float64(b.N), "catch_up_ms")
+}
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -40,7 +40,7 @@
 // tryStop ends the process once it leads no more and owes no answer.
 func (l *loop) tryStop(now time.Time) {
 	overdue := now.Sub(l.stopping) > stopTimeout
-	alone := len(l.members()) == 1
+	alone := len(l.members) == 1
 	if !l.leadership.Self || overdue || (alone && len(l.proposals.open) == 0) {
 		l.finished = true
 		return
--- a/internal/controlclient/follow.go
+++ b/internal/controlclient/follow.go
@@ -18,9 +18,10 @@
 const (
 	// DefaultHold is how long control holds a Sync that has nothing to tell.
 	DefaultHold = time.Second
-	// syncGrace is how much longer than the hold an answer may take; it leaves
-	// time for an attempt at another member.
-	syncGrace = 2500 * time.Millisecond
+	// syncGrace is how much longer than the hold one sync may take. It ends
+	// soon after the first attempt, so that the next sync can ask for an answer
+	// without a hold.
+	syncGrace = attemptTimeout + 250*time.Millisecond
 	// followPause bounds the jittered pause after a failed request.
 	followPause = 200 * time.Millisecond
 )
@@ -55,6 +56,7 @@
 	incarnation atomic.Uint64
 	inForce     atomic.Uint64
 	draining    atomic.Bool
+	leaseMs     atomic.Uint32
 	// leaseEnd is nil while the process must not start work.
 	leaseEnd atomic.Pointer[time.Time]
 
@@ -173,7 +175,8 @@
 var errInterrupted = errors.New("controlclient: sync interrupted")
 
 func (f *Follower) sync(ctx context.Context) (*wirepb.SyncResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.Hold+syncGrace)
+	hold := f.hold(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, hold+syncGrace)
 	defer cancel()
 	var interrupted atomic.Bool
 	f.mu.Lock()
@@ -185,7 +188,7 @@
 	r, err := f.control.Sync(ctx, &wirepb.SyncRequest{
 		Incarnation: f.Incarnation(),
 		Applied:     f.View().Revision,
-		HoldMs:      uint32(f.opts.Hold.Milliseconds()),
+		HoldMs:      uint32(hold.Milliseconds()),
 		Draining:    f.draining.Load(),
 	})
 	if err != nil && interrupted.Load() {
@@ -194,6 +197,17 @@
 	return r, err
 }
 
+// hold is how long the next sync may be held: a part of the lease at most, and
+// not at all when the lease needs to be renewed soon.
+func (f *Follower) hold(now time.Time) time.Duration {
+	lease := time.Duration(f.leaseMs.Load()) * time.Millisecond
+	end := f.leaseEnd.Load()
+	if end == nil || end.Sub(now) < lease/2 {
+		return 0
+	}
+	return min(f.opts.Hold, lease/3)
+}
+
 // apply publishes the view of a response; smaller revisions are ignored.
 func (f *Follower) apply(r *wirepb.SyncResponse) {
 	f.inForce.Store(max(f.inForce.Load(), r.InForce))
@@ -215,6 +229,7 @@
 // renewed moves the lease's end. A view older than the registration gives no
 // lease: the process would not know the fences of its time.
 func (f *Follower) renewed(sent time.Time, leaseMs uint32) {
+	f.leaseMs.Store(leaseMs)
 	if f.View().Revision < f.Incarnation() {
 		return
 	}
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// MaxSpecBytes bounds the spec of a resource.
-	MaxSpecBytes = 256 << 10
+	// MaxSpecBytes bounds the spec of a resource, so that the whole
+	// configuration fits in one message.
+	MaxSpecBytes = 16 << 10
 	// rememberedRequests is how many answers to ApplyRequests are kept.
 	rememberedRequests = 4096
 )
