Owner: tasks reported by an agent that ended before the jobs were loaded

Found by the model: a claim report that came before the group's open jobs were read was replayed after the agent had ended, and its tasks were held for ever. They are resolved like any other task of an ended agent.

--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -75,12 +75,17 @@
 	}
 	a.ended, a.clean, a.endIndex, a.up = true, clean, endIndex, false
 	o.batches.dropAgent(incarnation)
+	o.resolveEnded(a, now)
+	o.settleGroups(now)
+}
+
+// resolveEnded resolves what an ended agent held of all jobs.
+func (o *Owner) resolveEnded(a *agent, now time.Time) {
 	for _, j := range o.sortedJobs() {
-		if slices.Contains(j.agents, incarnation) {
-			o.endAt(j, incarnation, clean, now)
+		if slices.Contains(j.agents, a.incarnation) {
+			o.endAt(j, a.incarnation, a.clean, now)
 		}
 	}
-	o.settleGroups(now)
 }
 
 // AgentGone drops an ended incarnation that control no longer lists. A claim
--- a/internal/owner/gate_test.go
+++ b/internal/owner/gate_test.go
@@ -134,16 +134,23 @@
 	}
 }
 
+// claimed answers a claim in as many parts as there are tasks.
 func (w *world) claimed(a *simAgent, l *link, m *wirepb.ClaimGroup) {
-	r := &wirepb.ClaimReport{Group: m.Group, Epoch: m.Epoch, Fenced: m.Epoch < a.fences[m.Group]}
-	if !r.Fenced {
-		a.fences[m.Group] = m.Epoch
-		for _, k := range a.keys() {
-			if s := a.seen[k]; s.group == m.Group {
-				r.Tasks = append(r.Tasks, w.outcome(a, k, s))
-			}
+	if m.Epoch < a.fences[m.Group] {
+		l.report(&wirepb.ClaimReport{Group: m.Group, Epoch: m.Epoch, Fenced: true})
+		return
+	}
+	a.fences[m.Group] = m.Epoch
+	for _, k := range a.keys() {
+		if s := a.seen[k]; s.group == m.Group {
+			tasks := []*wirepb.TaskUpdate{w.outcome(a, k, s)}
+			l.report(&wirepb.ClaimReport{Group: m.Group, Epoch: m.Epoch, Tasks: tasks, More: true})
 		}
 	}
+	l.report(&wirepb.ClaimReport{Group: m.Group, Epoch: m.Epoch})
+}
+
+func (l *link) report(r *wirepb.ClaimReport) {
 	l.toOwner = append(l.toOwner, &wirepb.Envelope{Body: &wirepb.Envelope_ClaimReport{ClaimReport: r}})
 }
 
@@ -191,16 +198,21 @@
 }
 
 // deliverToOwner hands a message of a session to its owner: the oldest, or a
-// later one, or a copy of one that comes again.
+// later one, or a copy of one that comes again later.
 func (w *world) deliverToOwner(o *simOwner, a *simAgent, at int, again bool) bool {
 	l := w.links[o][a.incarnation]
 	if l == nil || len(l.toOwner) == 0 {
 		return false
 	}
 	at %= len(l.toOwner)
+	if l.toOwner[at].GetClaimReport() != nil {
+		// The parts of a report stay in order.
+		at = slices.IndexFunc(l.toOwner, func(e *wirepb.Envelope) bool { return e.GetClaimReport() != nil })
+	}
 	e := l.toOwner[at]
-	if !again {
-		l.toOwner = slices.Delete(l.toOwner, at, at+1)
+	l.toOwner = slices.Delete(l.toOwner, at, at+1)
+	if again {
+		l.toOwner = append(l.toOwner, e)
 	}
 	switch body := e.Body.(type) {
 	case *wirepb.Envelope_TaskUpdate:
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,11 +30,17 @@
 			"learn":      func(t *rapid.T) { w.learn(w.pickOwner()) },
 			"flush":      func(t *rapid.T) { w.pickOwner().Flush() },
 			"commit":     func(t *rapid.T) { w.commit(w.pickOwner()) },
-			"deliver":    func(t *rapid.T) { w.deliverToAgent(w.pickOwner(), w.pickAgent(), oneIn(10)) },
+			"deliver":    func(t *rapid.T) { w.deliverToAgent(w.pickOwner(), w.pickAgent(), oneIn(3)) },
 			"work":       func(t *rapid.T) { w.work(w.pickAgent(), small.Draw(t, "at"), oneIn(10)) },
-			"report":     func(t *rapid.T) { w.deliverToOwner(w.pickOwner(), w.pickAgent(), small.Draw(t, "at"), oneIn(10)) },
-			"page":       func(t *rapid.T) { w.page(w.pickOwner()) },
-			"fault":      func(t *rapid.T) { w.fault(rapid.IntRange(0, 15).Draw(t, "fault")) },
+			"report":     func(t *rapid.T) { w.deliverToOwner(w.pickOwner(), w.pickAgent(), small.Draw(t, "at"), oneIn(4)) },
+			"burst": func(t *rapid.T) {
+				for range 4 {
+					w.traffic(w.current, small.Draw(t, "messages")%4, oneIn)
+					w.work(w.pickAgent(), 0, oneIn(8))
+				}
+			},
+			"page":  func(t *rapid.T) { w.page(w.pickOwner(), small.Draw(t, "at")) },
+			"fault": func(t *rapid.T) { w.fault(rapid.IntRange(0, 15).Draw(t, "fault")) },
 			"tick": func(t *rapid.T) {
 				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 				w.pickOwner().Tick(w.now)
@@ -81,12 +88,14 @@
 	}
 }
 
-func (w *world) page(o *simOwner) bool {
+// page hands over an answer of control; answers come in any order.
+func (w *world) page(o *simOwner, at int) bool {
 	if len(o.pages) == 0 {
 		return false
 	}
-	next := o.pages[0]
-	o.pages = o.pages[1:]
+	at %= len(o.pages)
+	next := o.pages[at]
+	o.pages = slices.Delete(o.pages, at, at+1)
 	next()
 	return true
 }
@@ -107,14 +116,23 @@
 
 // settle lets one owner handle all that waits for it.
 func (w *world) settle(o *simOwner) {
-	for w.learn(o) || w.page(o) {
+	for w.learn(o) || w.page(o, 0) {
 	}
 	o.Tick(w.now)
+	w.traffic(o, 50, func(int) bool { return false })
+}
+
+// traffic lets one owner and the agents exchange some of what waits, but
+// nothing from control. Now and then an agent refuses a task or an update comes
+// again.
+func (w *world) traffic(o *simOwner, messages int, oneIn func(n int) bool) {
 	for _, a := range w.liveAgents() {
 		w.connect(o, a)
-		for w.deliverToOwner(o, a, 0, false) {
+		for range messages {
+			w.deliverToOwner(o, a, 0, oneIn(4))
 		}
-		for w.deliverToAgent(o, a, false) {
+		for range messages {
+			w.deliverToAgent(o, a, oneIn(3))
 		}
 		w.assign(o, 0, a)
 	}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -110,6 +110,12 @@
 	for _, e := range early {
 		o.claimUpdate(g, e, now)
 	}
+	// An agent may have reported and ended before the jobs were loaded.
+	for _, a := range o.sortedAgents() {
+		if a.ended {
+			o.resolveEnded(a, now)
+		}
+	}
 	o.settleGroup(g, now)
 }
 
