--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -42,6 +42,9 @@
 	// removedHold is how long tasks of a removed job keep their slots.
 	removedHold = 10 * time.Second
 
+	// keySlack is how long before its sending a task's key can be.
+	keySlack = 200 * time.Millisecond
+
 	seedMix = 0x9e3779b97f4a7c15
 )
 
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -57,12 +57,12 @@
 	// streakSince is when the first failure became known. Only the success of
 	// a task sent later ends the streak.
 	streakSince time.Duration
-	probeAt    time.Time
-	pause      time.Duration
-	due        bool // a probe may be sent
-	good       int  // good probes in a row
-	allowed    int  // tasks at once while returning
-	successes  int  // at this number
+	probeAt     time.Time
+	pause       time.Duration
+	due         bool // a probe may be sent
+	good        int  // good probes in a row
+	allowed     int  // tasks at once while returning
+	successes   int  // at this number
 	history
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -187,7 +187,7 @@
 	return Assignment{Job: j.info.Job, Task: task, Agent: a.info.Incarnation, Key: key}
 }
 
-// sendKey is the key that orders the task at the agent. It is never before now:
+// sendKey is the key that orders the task at the agent. It is never long before now:
 // otherwise a backlog of old jobs of one team, or at another entry, would pass
 // newer tasks at the agents for as long as it lasts. Where several teams wait,
 // the tasks keep the order in which their shares were given out.
@@ -196,7 +196,7 @@
 	if d.severalTeams() {
 		return sent
 	}
-	return max(j.key, sent)
+	return max(j.key, sent-uint64(keySlack.Microseconds()))
 }
 
 // Ended tells how a task ended at the agent it was sent to. run is the time at
--- a/internal/placement/recall.go
+++ b/internal/placement/recall.go
@@ -1,5 +1,10 @@
 package placement
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Recall asks one queued task back from an agent.
 type Recall struct {
 	Agent uint64
@@ -18,6 +23,7 @@
 }
 
 func (d *Dispatcher) recallFrom(a *agent) {
+	first := len(d.recalls)
 	for _, j := range d.jobs {
 		for i := range j.tasks {
 			if j.tasks[i].agent == a {
@@ -25,4 +31,7 @@
 			}
 		}
 	}
+	slices.SortFunc(d.recalls[first:], func(r, q Recall) int {
+		return cmp.Or(cmp.Compare(r.Job, q.Job), cmp.Compare(r.Task, q.Task))
+	})
 }
