--- a/charts/charts.go
+++ b/charts/charts.go
@@ -13,6 +13,15 @@
 //go:embed job.yaml
 var Job []byte
 
+// Member is the chart of a quorum member's role.
+//
+//go:embed member.yaml
+var Member []byte
+
+// LedgerJob is the chart of a job in the ledger.
+//
+//go:embed ledger_job.yaml
+var LedgerJob []byte
 // Outlier is the chart of an agent as an entry judges it.
 //
 //go:embed outlier.yaml
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -94,12 +94,8 @@
 	if j == nil || int(index) >= len(j.tasks) || j.state != jobOpen {
 		return false
 	}
-	a := o.agents[agent]
-	if a == nil || !a.up || a.ended {
-		return false
-	}
 	t := &j.tasks[index]
-	if !j.step(t, evSend) {
+	if !o.up(agent) || !j.step(t, evSend) {
 		return false
 	}
 	t.agent = agent
@@ -144,6 +140,12 @@
 		return
 	}
 	t := &j.tasks[u.Task]
+	if t.state == taskUnseen && u.Outcome == wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN {
+		// Another agent may hold a later attempt.
+		t.attempt = max(t.attempt, u.Attempt)
+		j.touch(agent)
+		return
+	}
 	event, ok := evByOutcome[u.Outcome]
 	if !ok || !j.believes(t, agent, u) || !taskChart.Can(t.state, event) {
 		o.stats.StaleUpdates++
@@ -168,10 +170,10 @@
 		return false
 	}
 	// A start is a fact whatever placement it belongs to; the others hold for
-	// one attempt, and attempts are counted within an epoch.
+	// one attempt.
 	switch u.Outcome {
 	case wirepb.TaskOutcome_TASK_OUTCOME_QUEUED, wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN:
-		return u.Attempt == t.attempt && (t.inherited || u.Epoch == j.group.epoch)
+		return u.Attempt == t.attempt
 	}
 	return true
 }
@@ -179,7 +181,7 @@
 // adopt notes the agent at which an earlier owner placed the task.
 func (j *job) adopt(t *task, agent uint64, u *wirepb.TaskUpdate) {
 	t.agent = agent
-	t.attempt = u.Attempt
+	t.attempt = max(t.attempt, u.Attempt)
 	t.inherited = true
 	j.touch(agent)
 }
@@ -215,7 +217,7 @@
 // it was unknown where it is when the job began to fail.
 func (o *Owner) cancelAdopted(j *job, t *task, index uint32) {
 	if t.inherited && (j.state == jobFailing || j.answered()) {
-		o.batches.cancel(t.agent, j, index)
+		o.cancelTask(j, index)
 	}
 }
 
