Rate of a service is learned while any team waits

With several teams the window of the drain rate was reset whenever one of them had nothing waiting, so that the first optimistic rate stayed.

--- a/internal/placement/agents.go
+++ b/internal/placement/agents.go
@@ -42,6 +42,7 @@
 	pools   []*pool
 	offered bool // by any agent in the set
 	slots   int  // of all agents that take work
+	waiting int  // tasks
 	runs    runTimes
 	drain   drainRate
 }
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -82,9 +82,7 @@
 
 // wait adds n waiting tasks of a job.
 func (d *Dispatcher) wait(j *job, n int) {
-	j.waiting += n
-	d.waiting += n
-	j.queue.team.waiting += n
+	d.countWaiting(j, n)
 	if j.heapAt >= 0 {
 		return
 	}
@@ -94,11 +92,16 @@
 	d.activate(j.queue)
 }
 
+func (d *Dispatcher) countWaiting(j *job, n int) {
+	j.waiting += n
+	j.queue.team.waiting += n
+	j.queue.service.waiting += n
+	d.waiting += n
+}
+
 // unwait counts one waiting task of a job as sent.
 func (d *Dispatcher) unwait(j *job) {
-	j.waiting--
-	d.waiting--
-	j.queue.team.waiting--
+	d.countWaiting(j, -1)
 	if j.waiting == 0 {
 		d.unlist(j)
 	}
@@ -106,9 +109,7 @@
 
 // forgetWaiting drops all waiting tasks of a job.
 func (d *Dispatcher) forgetWaiting(j *job) {
-	d.waiting -= j.waiting
-	j.queue.team.waiting -= j.waiting
-	j.waiting = 0
+	d.countWaiting(j, -j.waiting)
 	if j.heapAt >= 0 {
 		d.unlist(j)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -230,7 +230,7 @@
 		return
 	}
 	s := j.queue.service
-	if len(j.queue.jobs.items) == 0 {
+	if s.waiting == 0 {
 		s.drain.idle()
 	}
 	switch outcome {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -47,3 +47,31 @@
 	_, ok = d.Admit(crop(1, 1), start)
 	assert.Assert(t, ok)
 }
+
+func TestOwnZoneWinsTies(t *testing.T) {
+	d := New(Config{Zone: "b"})
+	d.SetAgents(twoAgents())
+	d.Add(crop(1, 4), start)
+	var agents []uint64
+	for a, ok := d.Next(start); ok; a, ok = d.Next(start) {
+		agents = append(agents, a.Agent)
+	}
+	assert.DeepEqual(t, agents, []uint64{2, 1, 2, 1})
+}
+
+// A team that is over its rate is told when to come back; a job larger than
+// the burst passes and leaves a debt.
+func TestRateQuotaIsSharedByTheEntries(t *testing.T) {
+	d := New(Config{})
+	d.SetAgents(twoAgents())
+	d.SetEntries(2)
+	d.SetTeams([]Team{{Name: "x", TasksPerSecond: 20, Burst: 10}})
+	_, ok := d.Admit(crop(1, 25), start)
+	assert.Assert(t, ok)
+	r, ok := d.Admit(crop(2, 1), start)
+	assert.Assert(t, !ok)
+	assert.Equal(t, r.Code, RefusedTeamQuota)
+	assert.Assert(t, r.RetryAfter >= 2*time.Second)
+	_, ok = d.Admit(crop(2, 1), start.Add(2100*time.Millisecond))
+	assert.Assert(t, ok)
+}
