--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -38,6 +38,7 @@
 // made durable; a refused job must not be accepted. An admitted one counts as
 // waiting until Add, or for a few seconds when Add never comes.
 func (d *Dispatcher) Admit(info JobInfo, now time.Time) (Refusal, bool) {
+	d.prune()
 	t := d.team(info.Team)
 	d.dropStalePending(t, now)
 	checks := [...]func(*JobInfo, *team, time.Time) (Refusal, bool){
@@ -55,7 +56,7 @@
 }
 
 func (d *Dispatcher) checkEndpoint(info *JobInfo, _ *team, _ time.Time) (Refusal, bool) {
-	if s := d.services[info.Service]; s != nil && s.offered {
+	if d.service(info.Service).offered {
 		return Refusal{}, true
 	}
 	r := Refusal{Code: RefusedNoEndpoint, Detail: fmt.Sprintf("no endpoint offers service %q", info.Service)}
--- a/internal/placement/agents.go
+++ b/internal/placement/agents.go
@@ -134,26 +134,29 @@
 	delete(d.agents, a.info.Incarnation)
 }
 
-// countSlots sums the slots of each service and the members of each pool.
+// countSlots sums the slots and members of each pool and each service.
 func (d *Dispatcher) countSlots() {
-	for _, s := range d.services {
-		s.slots, s.offered = 0, false
-	}
 	for _, p := range d.pools {
-		p.members = 0
+		p.known, p.members, p.slots = 0, 0, 0
 	}
 	for _, a := range d.list {
-		for _, s := range a.pool.services {
-			s.offered = true
-		}
-		if !a.takesWork() {
-			continue
-		}
-		a.pool.members++
-		for _, s := range a.pool.services {
-			s.slots += int(a.info.Slots)
+		a.pool.known++
+		if a.takesWork() {
+			a.pool.members++
+			a.pool.slots += int(a.info.Slots)
 		}
 	}
+	for _, s := range d.services {
+		s.countSlots()
+	}
+}
+
+func (s *service) countSlots() {
+	s.slots, s.offered = 0, false
+	for _, p := range s.pools {
+		s.slots += p.slots
+		s.offered = s.offered || p.known > 0
+	}
 }
 
 // AgentLost tells that an agent incarnation has ended: it gets nothing more.
@@ -217,6 +220,7 @@
 	return min(d.policy.limit(a), int(a.window), a.healthLimit())
 }
 
+// pool returns the pool of the agents that offer these services.
 func (d *Dispatcher) pool(services []string) *pool {
 	names := slices.Clone(services)
 	sort.Strings(names)
@@ -225,21 +229,38 @@
 	if p != nil {
 		return p
 	}
-	p = &pool{}
+	p = &pool{offersAll: len(names) == 0}
 	d.pools[key] = p
-	for _, name := range strings.Split(key, "\x00") {
-		s := d.service(name)
-		s.pools = append(s.pools, p)
-		p.services = append(p.services, s)
+	for _, name := range names {
+		d.join(d.service(name), p)
+	}
+	if p.offersAll {
+		for _, s := range d.services {
+			d.join(s, p)
+		}
 	}
 	return p
 }
 
+func (d *Dispatcher) join(s *service, p *pool) {
+	if slices.Contains(s.pools, p) {
+		return
+	}
+	s.pools = append(s.pools, p)
+	p.services = append(p.services, s)
+}
+
+// service returns a service by name; agents without a list offer any.
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
-	if s == nil {
-		s = &service{name: name}
-		d.services[name] = s
+	if s != nil {
+		return s
+	}
+	s = &service{name: name}
+	d.services[name] = s
+	if p := d.pools[""]; p != nil && p.offersAll {
+		d.join(s, p)
+		s.countSlots()
 	}
 	return s
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,8 +20,7 @@
 	Zone        string
 	// Slots is the number of tasks its minion runs at once.
 	Slots uint32
-	// Services are the task services of its minion. An agent without any
-	// offers the service with the empty name.
+	// Services are the task services of its minion; none is any service.
 	Services []string
 	// Draining agents get no new task.
 	Draining bool
@@ -116,6 +115,7 @@
 	speedAt  int    // index in list of the last agent judged
 	round    uint64 // of activeWeight
 	setRound uint64 // of SetAgents
+	pruneAt  int    // names known at which prune looks again
 
 	demands               []Demand
 	recalls, spareRecalls []Recall
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,25 @@
 	_, ok = d.Admit(crop(2, 1), start.Add(2100*time.Millisecond))
 	assert.Assert(t, ok)
 }
+
+// Agents that name no services run any; names that callers made up are
+// forgotten, what is in use stays.
+func TestNamesOfCallersAreForgotten(t *testing.T) {
+	d := New(Config{})
+	d.SetAgents([]Agent{{Incarnation: 1, Slots: 1, Connected: true}, {Incarnation: 2, Slots: 1, Services: []string{"crop"}, Connected: true}})
+	d.SetTeams([]Team{{Name: "declared", Weight: 2}})
+	d.Add(JobInfo{Job: 1, Team: "busy", Service: "weave", Tasks: 2, Accepted: start}, start)
+	for i := range 3 * pruneAbove {
+		name := fmt.Sprint("made-up-", i)
+		now := start.Add(time.Duration(i) * time.Second)
+		_, ok := d.Admit(JobInfo{Team: name, Service: name, Tasks: 1}, now)
+		assert.Assert(t, ok)
+		d.Add(JobInfo{Job: uint64(i + 2), Team: name, Service: name, Tasks: 1}, now)
+		d.Remove(uint64(i + 2))
+	}
+	assert.Assert(t, len(d.teams)+len(d.services) <= pruneAbove+2)
+	assert.Assert(t, len(d.pools[""].services) <= pruneAbove)
+	assert.Equal(t, d.team("declared").weight(), 2.0)
+	a, ok := d.Next(start)
+	assert.Assert(t, ok && a.Job == 1 && a.Agent == 1)
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,13 +15,17 @@
 // best agent are found in constant time.
 type pool struct {
 	services []*service
-	members  int     // agents that take work
-	ejected  int     // agents that get probes only
-	failures float64 // recent share of failed tasks
-	stays    history // of the tasks at all agents
-	ready    []*agent
-	levels   [levelCount][]*agent
-	used     [levelCount / wordBits]uint64
+	// offersAll: the agents named no services and run any.
+	offersAll bool
+	known     int     // agents
+	members   int     // agents that take work
+	slots     int     // of the members
+	ejected   int     // agents that get probes only
+	failures  float64 // recent share of failed tasks
+	stays     history // of the tasks at all agents
+	ready     []*agent
+	levels    [levelCount][]*agent
+	used      [levelCount / wordBits]uint64
 }
 
 // place is an agent's position in its pool.
