Judge messages by what they move

StartTask and TaskUpdate are useful once a task; the second update of a task (STARTED) and ForgetJobs move no task or answer and count as wasted.

--- a/internal/load/messages.go
+++ b/internal/load/messages.go
@@ -13,25 +13,34 @@
 // sentMetric ends the name of the counter of messages sent, by kind.
 const sentMetric = "wire_sent"
 
-// usefulKinds move a task or an answer forward. All others are wasted.
-var usefulKinds = map[string]bool{
-	"StartTask":        true,
-	"TaskUpdate":       true,
-	"AcceptRequest":    true,
-	"AcceptResponse":   true,
-	"CompleteRequest":  true,
-	"CompleteResponse": true,
-	"GetJobRequest":    true,
-	"GetJobResponse":   true,
-	"ForgetJobs":       true,
-	"QuorumMessage":    true,
-}
+// Class says how messages of one kind are judged.
+type Class string
+
+const (
+	// Useful messages move a task or an answer forward.
+	Useful Class = "useful"
+	// OncePerTask messages are useful once for each task; more are wasted.
+	OncePerTask Class = "once per task"
+	// ByTime messages are wasted, and sent by time whatever the load: leases
+	// and heartbeats.
+	ByTime Class = "wasted, by time"
+	// Wasted is every other kind.
+	Wasted Class = "wasted"
+)
 
-// periodicKinds are sent by time and not by work: leases and silence.
-var periodicKinds = map[string]bool{
-	"SyncRequest":  true,
-	"SyncResponse": true,
-	"heartbeat":    true,
+var classes = map[string]Class{
+	"StartTask":        OncePerTask,
+	"TaskUpdate":       OncePerTask,
+	"AcceptRequest":    Useful,
+	"AcceptResponse":   Useful,
+	"CompleteRequest":  Useful,
+	"CompleteResponse": Useful,
+	"GetJobRequest":    Useful,
+	"GetJobResponse":   Useful,
+	"CoreMessage":      Useful,
+	"SyncRequest":      ByTime,
+	"SyncResponse":     ByTime,
+	"heartbeat":        ByTime,
 }
 
 // sentByKind sums the messages sent by all processes, by kind.
@@ -78,9 +87,26 @@
 // MessageCount is the number of messages of one kind in a run.
 type MessageCount struct {
 	Kind    string  `json:"kind"`
+	Class   Class   `json:"class"`
 	Count   float64 `json:"count"`
 	PerTask float64 `json:"perTask"`
-	Useful  bool    `json:"useful"`
-	// Periodic messages are sent by time, whatever the load.
-	Periodic bool `json:"periodic"`
+	// WastedPerTask is the part that moved no task or answer forward.
+	WastedPerTask float64 `json:"wastedPerTask"`
+}
+
+// countMessage judges the messages of one kind; tasks are those of all jobs
+// that were not refused.
+func countMessage(kind string, count, tasks float64) MessageCount {
+	m := MessageCount{Kind: kind, Class: Wasted, Count: count, PerTask: count / tasks}
+	if c, ok := classes[kind]; ok {
+		m.Class = c
+	}
+	switch m.Class {
+	case Useful:
+	case OncePerTask:
+		m.WastedPerTask = max(0, m.PerTask-1)
+	default:
+		m.WastedPerTask = m.PerTask
+	}
+	return m
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -38,7 +38,7 @@
 type RoleReport struct {
 	Role       string  `json:"role"`
 	CPUSeconds float64 `json:"cpuSeconds"`
-	// MicrosPerTask is per task of a complete job.
+	// MicrosPerTask is per task of a job that was not refused.
 	MicrosPerTask float64 `json:"microsPerTask"`
 }
 
@@ -78,6 +78,8 @@
 	// WastedByWork leaves out those that are sent by time.
 	WastedPerTask float64 `json:"wastedPerTask"`
 	WastedByWork  float64 `json:"wastedByWork"`
+
+	tasksAccepted int // of jobs that were not refused
 }
 
 type histogram struct{ h *hdrhistogram.Histogram }
@@ -132,6 +134,9 @@
 func (rep *Report) count(s submission, r result) {
 	rep.Tasks += len(s.Runs)
 	rep.Resubmitted += r.resent
+	if !r.refused {
+		rep.tasksAccepted += len(s.Runs)
+	}
 	switch {
 	case r.complete:
 		rep.Complete++
@@ -200,21 +205,16 @@
 }
 
 func (rep *Report) usage(before, after usage) {
-	tasks := float64(max(rep.TasksDone, 1))
+	tasks := float64(max(rep.tasksAccepted, 1))
 	for kind, n := range after.sent {
-		m := MessageCount{
-			Kind:     kind,
-			Count:    n - before.sent[kind],
-			Useful:   usefulKinds[kind],
-			Periodic: periodicKinds[kind],
+		m := countMessage(kind, n-before.sent[kind], tasks)
+		if m.Count == 0 {
+			continue
 		}
-		m.PerTask = m.Count / tasks
 		rep.Messages = append(rep.Messages, m)
-		if !m.Useful {
-			rep.WastedPerTask += m.PerTask
-		}
-		if !m.Useful && !m.Periodic {
-			rep.WastedByWork += m.PerTask
+		rep.WastedPerTask += m.WastedPerTask
+		if m.Class != ByTime {
+			rep.WastedByWork += m.WastedPerTask
 		}
 	}
 	for role, seconds := range after.cpu {
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -54,10 +54,10 @@
 func (rep Report) writeUsage(p func(string, ...any)) {
 	if len(rep.Messages) > 0 {
 		p("")
-		p("messages\tcount\tper task\t")
+		p("messages\tcount\tper task\twasted\t")
 	}
 	for _, m := range rep.Messages {
-		p("%s\t%.0f\t%.4f\t%s", m.Kind, m.Count, m.PerTask, m.class())
+		p("%s\t%.0f\t%.4f\t%.4f\t%s", m.Kind, m.Count, m.PerTask, m.WastedPerTask, m.Class)
 	}
 	if len(rep.Messages) > 0 {
 		p("wasted per task %.4f, without those sent by time %.4f", rep.WastedPerTask, rep.WastedByWork)
@@ -70,13 +70,3 @@
 		p("%s\t%.2f\t%.1f", r.Role, r.CPUSeconds, r.MicrosPerTask)
 	}
 }
-
-func (m MessageCount) class() string {
-	switch {
-	case m.Useful:
-		return "useful"
-	case m.Periodic:
-		return "wasted, by time"
-	}
-	return "wasted"
-}
