A planned stop no longer cuts an agent off from its results

Cause: the signal's context was handed to the roles as their life. On SIGTERM the agent's watcher ended the process at once, racing with the graceful stop: the leave was then not clean, and a job whose results were not yet durable failed with agent_lost. Change: the context of a node's start bounds the start alone; the roles' life ends with Stop.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,8 @@
 	log      logr.Logger
 	metrics  *observe.Metrics
 	tls      *tls.Config
+	// cut ends every role at once.
+	cut context.CancelFunc
 	debug    *observe.DebugServer
 
 	control *control.Process
@@ -33,14 +35,20 @@
 }
 
 // Start runs the roles in the order in which they need each other. When one
-// can't be started, those before it are stopped again.
+// can't be started, those before it are stopped again. The context bounds the
+// start alone: a node that serves ends by Stop, never by a context, which
+// would cut what is in flight.
 func Start(ctx context.Context, s *config.Settings, log logr.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log}
 	n.metrics = observe.NewMetrics(map[string]string{"cluster": s.Cluster, "process": s.Name, "zone": s.Zone})
-	if err := n.start(ctx); err != nil {
-		n.Stop(ctx)
+	life, cut := context.WithCancel(context.WithoutCancel(ctx))
+	n.cut = cut
+	giveUp := context.AfterFunc(ctx, cut)
+	if err := n.start(life); err != nil {
+		n.Stop(context.WithoutCancel(ctx))
 		return nil, err
 	}
+	giveUp()
 	return n, nil
 }
 
@@ -155,6 +163,7 @@
 func (n *Node) Stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout.D())
 	defer cancel()
+	defer n.cut()
 	began := time.Now()
 	if n.entry != nil {
 		n.entry.Stop(ctx)
