--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -88,6 +88,13 @@
 	}
 	term := lead.core.term
 	c.cut = func(uint64, uint64) bool { return false }
+	// It asks before it hears of the leader.
+	for range 2 * testElectionTicks {
+		c.hosts[away].core.Tick()
+		c.drain(c.hosts[away])
+	}
+	assert.Assert(t, len(c.mail) > 0)
+	c.settle()
 	c.tick(5 * testElectionTicks)
 	assert.Equal(t, c.leader(), lead)
 	assert.Equal(t, lead.core.term, term)
