--- a/internal/control/spread_test.go
+++ b/internal/control/spread_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,12 +26,23 @@
 // BenchmarkLightLoad compares the time of one accept with its parts: a round
 // trip to a member's loop and a sync of the same disk.
 func BenchmarkLightLoad(b *testing.B) {
-	c := startCluster(b, 3, func(o *Options) { o.Tick = 50 * time.Millisecond })
+	for _, delay := range []time.Duration{0, 3 * time.Millisecond} {
+		b.Run(fmt.Sprint("added=", delay), func(b *testing.B) { benchmarkLightLoad(b, delay) })
+	}
+}
+
+func benchmarkLightLoad(b *testing.B, delay time.Duration) {
+	slowed := func(log appender) appender { return slowLog{log, &atomic.Int64{}, delay} }
+	c := startCluster(b, 3, func(o *Options) {
+		o.Tick = 50 * time.Millisecond
+		o.wrapLog = slowed
+	})
 	client := c.client()
 	owner := register(b, client, "a")
-	log, _, err := wal.Open(b.TempDir(), wal.Options{})
+	plain, _, err := wal.Open(b.TempDir(), wal.Options{})
 	assert.NilError(b, err)
-	defer func() { _ = log.Close() }()
+	defer func() { _ = plain.Close() }()
+	log := slowed(plain)
 	var trips, syncs, accepts []time.Duration
 	timed := func(into *[]time.Duration, do func() error) {
 		began := time.Now()
