--- a/internal/owner/batches.go
+++ b/internal/owner/batches.go
@@ -55,11 +55,16 @@
 	b.forgets[to] = append(b.forgets[to], jobs...)
 }
 
-// forgetOnce is forget for a job that is named once for each of its tasks.
-func (b *batches) forgetOnce(agent uint64, g *group, job uint64) {
-	waiting := b.forgets[target{agent, g.id}]
-	if len(waiting) == 0 || waiting[len(waiting)-1] != job {
-		b.forget(agent, g, job)
+// stopEnded drops a task of a job that has ended. The job is named once for
+// all its tasks.
+func (b *batches) stopEnded(agent uint64, g *group, u *wirepb.TaskUpdate) {
+	to := target{agent, g.id}
+	switch u.Outcome {
+	case wirepb.TaskOutcome_TASK_OUTCOME_QUEUED, wirepb.TaskOutcome_TASK_OUTCOME_STARTED:
+		b.cancels[to] = append(b.cancels[to], &wirepb.TaskRef{Job: u.Job, Task: u.Task, Attempt: u.Attempt})
+	}
+	if n := len(b.forgets[to]); n == 0 || b.forgets[to][n-1] != u.Job {
+		b.forget(agent, g, u.Job)
 	}
 }
 
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -149,15 +149,15 @@
 }
 
 // claimUpdate takes one task of a claim report. An agent that still remembers
-// a job which has ended is told to forget it.
+// a job which has ended is told to stop it and to forget it.
 func (o *Owner) claimUpdate(g *group, e earlyUpdate, now time.Time) {
 	switch {
 	case o.jobs[e.update.Job] != nil:
 		o.Update(e.agent, e.update, now)
 	case !g.loaded:
 		g.early = append(g.early, e)
-	default:
-		o.batches.forgetOnce(e.agent, g, e.update.Job)
+	case o.up(e.agent):
+		o.batches.stopEnded(e.agent, g, e.update)
 	}
 }
 
