--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 )
 
 type taskPhase uint8
@@ -14,7 +15,8 @@
 )
 
 type taskState struct {
-	agent *agent // while out
+	agent *agent        // while out
+	sent  time.Duration // since the dispatcher's epoch, while out
 	state taskPhase
 }
 
@@ -26,9 +28,12 @@
 	next      uint32   // first task that has never been sent
 	again     []uint32 // tasks to be sent again
 	waiting   int
+	out       int // tasks at agents
 	remaining int // tasks that have not ended
 	key       uint64
 	heapAt    int // index in the queue's heap, -1 when not there
+	removed   bool
+	removedAt time.Time // set when first seen after the removal
 }
 
 func newJob(info JobInfo, q *queue) *job {
@@ -42,7 +47,7 @@
 }
 
 // take returns the next waiting task and marks it as sent to the agent.
-func (j *job) take(a *agent) uint32 {
+func (j *job) take(a *agent, at time.Duration) uint32 {
 	task := j.next
 	if n := len(j.again); n > 0 {
 		task = j.again[n-1]
@@ -50,7 +55,8 @@
 	} else {
 		j.next++
 	}
-	j.tasks[task] = taskState{agent: a, state: taskOut}
+	j.tasks[task] = taskState{agent: a, sent: at, state: taskOut}
+	j.out++
 	return task
 }
 
@@ -76,9 +82,7 @@
 
 // wait adds n waiting tasks of a job.
 func (d *Dispatcher) wait(j *job, n int) {
-	j.waiting += n
-	d.waiting += n
-	j.queue.team.waiting += n
+	d.countWaiting(j, n)
 	if j.heapAt >= 0 {
 		return
 	}
@@ -88,11 +92,16 @@
 	d.activate(j.queue)
 }
 
+func (d *Dispatcher) countWaiting(j *job, n int) {
+	j.waiting += n
+	j.queue.team.waiting += n
+	j.queue.service.waiting += n
+	d.waiting += n
+}
+
 // unwait counts one waiting task of a job as sent.
 func (d *Dispatcher) unwait(j *job) {
-	j.waiting--
-	d.waiting--
-	j.queue.team.waiting--
+	d.countWaiting(j, -1)
 	if j.waiting == 0 {
 		d.unlist(j)
 	}
@@ -100,9 +109,7 @@
 
 // forgetWaiting drops all waiting tasks of a job.
 func (d *Dispatcher) forgetWaiting(j *job) {
-	d.waiting -= j.waiting
-	j.queue.team.waiting -= j.waiting
-	j.waiting = 0
+	d.countWaiting(j, -j.waiting)
 	if j.heapAt >= 0 {
 		d.unlist(j)
 	}
--- /dev/null
+++ b/internal/placement/recall.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Recall asks one queued task back from an agent.
+type Recall struct {
+	Agent uint64
+	Job   uint64
+	Task  uint32
+}
+
+// Recalls returns the tasks to ask back since the last call: those at agents
+// that were ejected. A task that has started goes on there. The result is
+// valid until the next call.
+func (d *Dispatcher) Recalls() []Recall {
+	out := d.recalls
+	d.recalls = d.spareRecalls[:0]
+	d.spareRecalls = out
+	return out
+}
+
+func (d *Dispatcher) recallFrom(a *agent) {
+	first := len(d.recalls)
+	for _, j := range d.jobs {
+		for i := range j.tasks {
+			if j.tasks[i].agent == a {
+				d.recalls = append(d.recalls, Recall{Agent: a.info.Incarnation, Job: j.info.Job, Task: uint32(i)})
+			}
+		}
+	}
+	slices.SortFunc(d.recalls[first:], func(r, q Recall) int {
+		return cmp.Or(cmp.Compare(r.Job, q.Job), cmp.Compare(r.Task, q.Task))
+	})
+}
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -39,13 +39,14 @@
 	c.log.append(e)
 	if e.Kind == wirepb.EntryKind_ENTRY_KIND_MEMBERSHIP {
 		c.noteConfigs([]*wirepb.Entry{e})
-		c.trackMembers()
+		c.trackMembers(e.Index)
 	}
 	return e.Index
 }
 
-// trackMembers makes the leader's progress records fit the configuration.
-func (c *Core) trackMembers() {
+// trackMembers makes the leader's progress records fit the configuration. A
+// new member is first sent the entry at next.
+func (c *Core) trackMembers(next uint64) {
 	members := c.membership().Members()
 	if !c.membership().IsVoter(c.cfg.ID) {
 		members = append(members, Member{ID: c.cfg.ID})
@@ -54,7 +55,7 @@
 	for _, m := range members {
 		p := c.lead.peers[m.ID]
 		if p == nil {
-			p = &progress{next: c.log.last() + 1, wasActive: true}
+			p = &progress{next: next}
 		}
 		peers[m.ID] = p
 	}
@@ -68,6 +69,9 @@
 
 func (c *Core) tickLeader() {
 	c.beatElapsed++
+	for _, id := range c.lead.ids {
+		c.lead.peers[id].silent++
+	}
 	if c.elapsed >= c.cfg.ElectionTicks {
 		c.elapsed = 0
 		if !c.checkQuorum() {
@@ -89,12 +93,8 @@
 // checkQuorum ends the leadership of a leader that no quorum has answered for
 // an election timeout: a newer one may have been elected by then.
 func (c *Core) checkQuorum() bool {
-	for _, id := range c.lead.ids {
-		p := c.lead.peers[id]
-		p.wasActive = p.active || id == c.cfg.ID
-		p.active = false
-	}
-	if c.membership().quorum(func(id uint64) bool { return c.lead.peers[id].wasActive }) {
+	heard := func(id uint64) bool { return id == c.cfg.ID || c.lead.peers[id].silent < c.cfg.ElectionTicks }
+	if c.membership().quorum(heard) {
 		return true
 	}
 	c.fire(member.quorumLost)
@@ -108,13 +108,17 @@
 			c.beat(id, c.lead.peers[id])
 		}
 	}
-	c.lead.beatCommit = c.commit
+	c.lead.beatBefore, c.lead.lastBeat = c.lead.lastBeat, c.commit
 }
 
-// beat sends the periodic heartbeat. An append that was not answered for a
-// whole interval is asked about again, since it or its answer may be lost.
+// beat sends the periodic heartbeat, unless an append did its work. An append
+// that was not answered for a whole interval is asked about again, since it
+// or its answer may be lost.
 func (c *Core) beat(id uint64, p *progress) {
-	c.sendHeartbeat(id, p)
+	if !p.spoken || len(c.lead.reads.running) > 0 {
+		c.sendHeartbeat(id, p)
+	}
+	p.spoken = false
 	switch p.state {
 	case probing:
 		p.probed = false
@@ -169,6 +173,7 @@
 	if !ok {
 		return
 	}
+	p.spoken = true
 	c.send(id, appendMessage(&wirepb.AppendRequest{
 		PrevIndex: p.next - 1,
 		PrevTerm:  term,
@@ -243,7 +248,7 @@
 	if p == nil {
 		return
 	}
-	p.active = true
+	p.silent = 0
 	if r.Rejected {
 		c.onReject(p, r)
 		return
@@ -289,4 +294,10 @@
 	c.finishChange()
 }
 
-func (c *Core) commitTo(index uint64) { c.commit = max(c.commit, index) }
+func (c *Core) commitTo(index uint64) {
+	if index <= c.commit {
+		return
+	}
+	c.commit = index
+	c.settle()
+}
