--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -37,6 +37,18 @@
 	l.adoptGroups()
 	l.refreshAgents()
 	l.adoptTeams()
+	l.dispatch.SetEntries(l.liveEntries())
+}
+
+// liveEntries is the number of entries that take jobs.
+func (l *loop) liveEntries() int {
+	n := 0
+	for _, i := range l.view.Instances {
+		if i.Kind == wirepb.InstanceKind_INSTANCE_KIND_ENTRY && !i.Ended && !i.Draining {
+			n++
+		}
+	}
+	return n
 }
 
 func (l *loop) adoptAgents(old *controlclient.View) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -13,12 +13,19 @@
 		if !ok {
 			return
 		}
-		if l.owner.Assign(a.Job, a.Task, a.Agent, l.now) {
+		if l.owner.Assign(a.Job, a.Task, a.Agent, a.Key, l.now) {
 			continue
 		}
 		// The owner holds the task elsewhere, as after a takeover, or is done
 		// with it. Replace brings it back if it has to run.
-		l.dispatch.Ended(a.Agent, a.Job, a.Task, placement.NotRun, 0, l.now)
+		l.dispatch.Ended(a.Agent, a.Job, a.Task, placement.NotSent, 0, l.now)
+	}
+}
+
+// recall asks queued tasks back that the dispatcher wants elsewhere.
+func (l *loop) recall() {
+	for _, r := range l.dispatch.Recalls() {
+		l.owner.Recall(r.Job, r.Task)
 	}
 }
 
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -183,6 +183,7 @@
 	if l.owner != nil {
 		l.owner.Tick(l.now)
 		l.assign()
+		l.recall()
 		l.owner.Flush()
 		l.sendDemands()
 		l.sendRecords()
--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -184,14 +184,14 @@
 	}
 }
 
-// Recall asks an agent to give a queued task back.
+// Recall asks an agent to give a task back if it has not started it.
 func (o *Owner) Recall(id uint64, index uint32) {
 	j := o.jobs[id]
 	if j == nil || int(index) >= len(j.tasks) {
 		return
 	}
 	t := &j.tasks[index]
-	if t.state == taskQueued && o.up(t.agent) {
+	if (t.state == taskSent || t.state == taskQueued) && o.up(t.agent) {
 		o.batches.recall(t.agent, j, index)
 	}
 }
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -141,6 +141,7 @@
 	j.on(evSettle)
 	if a.Complete {
 		o.stats.Completed++
+		o.fx.Withdraw(j.id)
 	} else {
 		o.stats.Failed++
 	}
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -87,9 +87,10 @@
 	}
 }
 
-// Assign sends a waiting task to an agent; ok is false when the task does not
-// wait or the agent can't be reached, and nothing was sent then.
-func (o *Owner) Assign(id uint64, index uint32, agent uint64, now time.Time) (ok bool) {
+// Assign sends a waiting task to an agent, with the key that orders it there;
+// ok is false when the task does not wait or the agent can't be reached, and
+// nothing was sent then.
+func (o *Owner) Assign(id uint64, index uint32, agent, key uint64, now time.Time) (ok bool) {
 	j := o.jobs[id]
 	if j == nil || int(index) >= len(j.tasks) || j.state != jobOpen {
 		return false
@@ -103,11 +104,11 @@
 	t.inherited = false
 	j.touch(agent)
 	o.stats.Placed++
-	o.fx.Send(agent, startEnvelope(j, index, now))
+	o.fx.Send(agent, startEnvelope(j, index, key, now))
 	return true
 }
 
-func startEnvelope(j *job, index uint32, now time.Time) *wirepb.Envelope {
+func startEnvelope(j *job, index uint32, key uint64, now time.Time) *wirepb.Envelope {
 	t := &j.tasks[index]
 	spec := j.spec.Tasks[index]
 	start := &wirepb.StartTask{
@@ -116,7 +117,7 @@
 		Incarnation: t.agent, Attempt: t.attempt,
 		Service: j.spec.Service, Team: j.spec.Team,
 		Payload: spec.Payload, DeclaredMs: spec.DeclaredMs,
-		BudgetMs: budget(j.deadline, now),
+		BudgetMs: budget(j.deadline, now), Key: key,
 	}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_StartTask{StartTask: start}}
 }
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -357,7 +357,7 @@
 	}
 	at %= len(o.waiting)
 	k := o.waiting[at]
-	if o.Assign(k.job, k.task, a.incarnation, w.now) {
+	if o.Assign(k.job, k.task, a.incarnation, 0, w.now) {
 		o.waiting = slices.Delete(o.waiting, at, at+1)
 	}
 }
