--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/owner"
+	"endivewing/internal/placement"
+)
+
+const (
+	benchOwner  = 1
+	benchAgents = 10
+)
+
+// benchLoop is a loop without goroutines, whose agents answer at once.
+type benchLoop struct {
+	*loop
+	sent     []*wirepb.StartTask
+	agents   []uint64
+	answered []uint64
+	now      time.Time
+}
+
+func (b *benchLoop) Send(agent uint64, e *wirepb.Envelope) {
+	if m := e.GetStartTask(); m != nil {
+		b.sent = append(b.sent, m)
+		b.agents = append(b.agents, agent)
+	}
+}
+
+func (b *benchLoop) Record(_, _ uint64, batch []*wirepb.JobCompletion) {
+	for _, c := range batch {
+		b.answered = append(b.answered, c.Job)
+	}
+}
+
+func newBenchLoop() *benchLoop {
+	opts := Options{Scope: tally.NoopScope}.withDefaults()
+	b := &benchLoop{loop: newLoop(context.Background(), opts, nil), now: time.Unix(1000, 0)}
+	b.owner = owner.New(owner.Config{Incarnation: benchOwner, ResolveGrace: resolveGrace}, b)
+	b.dispatch = placement.New(placement.Config{Policy: placement.PolicyLeastOutstanding})
+	var agents []placement.Agent
+	for i := range uint64(benchAgents) {
+		n := 2 + i
+		agents = append(agents, placement.Agent{Incarnation: n, Name: fmt.Sprint(n), Slots: 8, Connected: true})
+		b.owner.AgentUp(n)
+	}
+	b.dispatch.SetAgents(agents)
+	return b
+}
+
+func benchSpec(tasks int) *wirepb.JobSpec {
+	spec := &wirepb.JobSpec{Team: "t", Service: "s", Submission: "x"}
+	for range tasks {
+		spec.Tasks = append(spec.Tasks, &wirepb.Task{Payload: make([]byte, 100)})
+	}
+	return spec
+}
+
+func (b *benchLoop) acceptJob(job uint64, spec *wirepb.JobSpec) {
+	rec := &wirepb.JobRecord{Job: job, Spec: spec, Group: benchOwner}
+	b.hold(rec)
+	b.owner.Accept(rec, b.now.Add(time.Hour))
+}
+
+// finish runs everything that waits to its end.
+func (b *benchLoop) finish() {
+	for {
+		b.assign()
+		if len(b.sent) == 0 {
+			break
+		}
+		b.now = b.now.Add(time.Millisecond)
+		b.loop.now = b.now
+		for i, m := range b.sent {
+			b.owner.Update(b.agents[i], taskUpdate(m, wirepb.TaskOutcome_TASK_OUTCOME_DONE), b.now)
+		}
+		b.sent, b.agents = b.sent[:0], b.agents[:0]
+	}
+	b.owner.Flush()
+	for _, job := range b.answered {
+		b.drop(job)
+	}
+	b.owner.Recorded(b.answered)
+	b.answered = b.answered[:0]
+	b.owner.Flush()
+}
+
+// BenchmarkTask is the processor time and the allocations of owner and
+// dispatcher for one task of a job, from its acceptance to its record. The
+// update of the agent is made here too (one allocation).
+func BenchmarkTask(b *testing.B) {
+	for _, tasks := range []int{1, 20, 100, 390} {
+		b.Run(fmt.Sprintf("job=%d", tasks), func(b *testing.B) {
+			l := newBenchLoop()
+			spec := benchSpec(tasks)
+			b.ReportAllocs()
+			job := uint64(100)
+			for n := 0; n < b.N; n += tasks {
+				job++
+				l.acceptJob(job, spec)
+				l.finish()
+			}
+			if l.owner.Held() != 0 {
+				b.Fatal("jobs are left")
+			}
+		})
+	}
+}
+
+// BenchmarkOpenJob is the memory of an open job beside its payloads.
+func BenchmarkOpenJob(b *testing.B) {
+	for _, tasks := range []int{1, 100, 390} {
+		b.Run(fmt.Sprintf("job=%d", tasks), func(b *testing.B) {
+			const jobs = 2000
+			spec := benchSpec(tasks)
+			for b.Loop() {
+				l := newBenchLoop()
+				before := heap()
+				for n := range uint64(jobs) {
+					l.acceptJob(100+n, spec)
+				}
+				b.ReportMetric(float64(heap()-before)/jobs, "B/job")
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
