Agents take work again when a drain is undone

Cause: an entry kept the mark that an agent set by its Draining message, so an undone drain left the agent without work until its next start. Found by the drain script: no start in 5 s after the undo. Change: slots lent after a drain end it, as the message says. Services that operators allow also hold for an agent that announces none.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,6 +40,7 @@
 	Apply    applyCommand    `cmd:"" help:"Write a resource."`
 	Watch    watchCommand    `cmd:"" help:"Print resources and their changes."`
 	Drain    drainCommand    `cmd:"" help:"Take an endpoint out of work, or back."`
+	Member   memberCommand   `cmd:"" help:"Show and change the control members."`
 	Dump     dumpCommand     `cmd:"" help:"Print the state of a process."`
 	Settings settingsCommand `cmd:"" help:"Print the settings reference."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/internal/cli/member.go
@@ -0,0 +1,160 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/config"
+	"endivewing/internal/controlclient"
+	"endivewing/internal/keys"
+)
+
+// memberCommand speaks with the control members themselves, so that it also
+// works while no entry does.
+type memberCommand struct {
+	Status memberStatusCommand `cmd:"" help:"Print the control members."`
+	Join   memberJoinCommand   `cmd:"" help:"Add the member that a settings file describes, in place of a lost one."`
+	Remove memberRemoveCommand `cmd:"" help:"Remove a member."`
+}
+
+// catchUpPause is how long the command waits between two tries to promote.
+const catchUpPause = 200 * time.Millisecond
+
+// memberFlags are the flags of every command on members.
+type memberFlags struct {
+	Config string `required:"" placeholder:"FILE" help:"Settings of a control member; its keys and members are used."`
+	Output string `short:"o" enum:"json,yaml,table" default:"table" help:"Output format: json, yaml or table."`
+}
+
+// dial makes a client of the members that the settings name.
+func (f *memberFlags) dial() (*controlclient.Client, *config.Settings, error) {
+	s, err := config.LoadFile(f.Config)
+	if err != nil {
+		return nil, nil, err
+	}
+	opts := controlclient.Options{
+		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "operator", Name: "member", Cluster: s.Cluster} },
+		Log:   logr.Discard(),
+	}
+	for _, m := range s.Control.Members {
+		if m.ID != s.Control.ID || !s.Control.Join {
+			opts.Addresses = append(opts.Addresses, m.Address)
+		}
+	}
+	if s.TLS.Cert != "" {
+		keeper, err := keys.Open(keys.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+		if err != nil {
+			return nil, nil, err
+		}
+		opts.TLS = keeper.Config()
+	}
+	return controlclient.New(opts), s, nil
+}
+
+type memberStatusCommand struct{ memberFlags }
+
+// Run prints the members, the leader and the term.
+func (c *memberStatusCommand) Run(ctx context.Context, o *output) error {
+	client, _, err := c.dial()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	return o.changeMembers(ctx, client, c.Output, wirepb.MembershipAction_MEMBERSHIP_ACTION_STATUS, nil, 0)
+}
+
+type memberJoinCommand struct {
+	memberFlags
+	Lost    uint64        `help:"Number of the lost member that is replaced in the same change."`
+	Timeout time.Duration `default:"10m" help:"How long the new member may take to catch up."`
+}
+
+// Run adds the member as a learner, waits until it has caught up and makes it
+// a voter; the lost one leaves in the same change.
+func (c *memberJoinCommand) Run(ctx context.Context, o *output) error {
+	client, s, err := c.dial()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	self, ok := s.Control.Self()
+	if !ok {
+		return &exitError{code: ExitUsage, cause: fmt.Errorf("%s: control.members has no member %d", c.Config, s.Control.ID)}
+	}
+	m := &wirepb.Member{Id: self.ID, Name: self.Name, Address: self.Address, Zone: self.Zone}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	add := &wirepb.MembershipRequest{Action: wirepb.MembershipAction_MEMBERSHIP_ACTION_ADD_LEARNER, Member: m}
+	if _, err := client.Membership(ctx, add); err != nil {
+		return memberError(err)
+	}
+	fmt.Fprintf(o.err, "member %d is a learner and catches up\n", m.Id)
+	for {
+		err := o.changeMembers(ctx, client, c.Output, wirepb.MembershipAction_MEMBERSHIP_ACTION_PROMOTE, m, c.Lost)
+		if err == nil || ctx.Err() != nil || !errors.Is(err, controlclient.ErrNotRun) {
+			return err
+		}
+		time.Sleep(catchUpPause)
+	}
+}
+
+type memberRemoveCommand struct {
+	memberFlags
+	ID uint64 `arg:"" help:"Number of the member."`
+}
+
+// Run removes a member.
+func (c *memberRemoveCommand) Run(ctx context.Context, o *output) error {
+	client, _, err := c.dial()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	return o.changeMembers(ctx, client, c.Output, wirepb.MembershipAction_MEMBERSHIP_ACTION_REMOVE, &wirepb.Member{Id: c.ID}, 0)
+}
+
+// changeMembers sends one request and prints the members after it.
+func (o *output) changeMembers(
+	ctx context.Context, client *controlclient.Client, format string,
+	action wirepb.MembershipAction, m *wirepb.Member, replace uint64,
+) error {
+	r, err := client.Membership(ctx, &wirepb.MembershipRequest{Action: action, Member: m, Replace: replace})
+	if err != nil {
+		return memberError(err)
+	}
+	return o.render(format, r, func(w io.Writer) {
+		fmt.Fprintln(w, "ID\tNAME\tADDRESS\tZONE\tROLE")
+		for _, m := range r.Members {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", m.Id, m.Name, m.Address, m.Zone, memberRole(m, r.Leader))
+		}
+	})
+}
+
+func memberRole(m *wirepb.Member, leader uint64) string {
+	switch {
+	case m.Learner:
+		return "learner"
+	case m.Id == leader:
+		return "leader"
+	default:
+		return "voter"
+	}
+}
+
+// memberError gives an error of the control role its exit code.
+func memberError(err error) error {
+	code := ExitFailed
+	switch {
+	case errors.Is(err, controlclient.ErrUnknownOutcome):
+		code = ExitUnknown
+	case errors.Is(err, controlclient.ErrNotRun):
+		code = ExitUnavailable
+	}
+	return &exitError{code: code, cause: err}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -40,6 +40,16 @@
 // Has tells whether the process runs a role.
 func (s *Settings) Has(role string) bool { return slices.Contains(s.Roles, role) }
 
+// Self is the member that these settings describe; false when the members
+// don't name it.
+func (c *Control) Self() (Member, bool) {
+	i := slices.IndexFunc(c.Members, func(m Member) bool { return m.ID == c.ID })
+	if i < 0 {
+		return Member{}, false
+	}
+	return c.Members[i], true
+}
+
 func checkRoles(s *Settings, add report) {
 	if len(s.Roles) == 0 {
 		add("roles", "at least one role is needed: control, entry, agent")
--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -187,8 +187,12 @@
 	return a
 }
 
-// common keeps the services that the minion can run and operators allow.
+// common keeps the services that the minion can run and operators allow. An
+// agent that announces none can run any.
 func common(announced, allowed []string) []string {
+	if len(announced) == 0 {
+		return allowed
+	}
 	kept := make([]string, 0, len(announced))
 	for _, name := range announced {
 		if slices.Contains(allowed, name) {
@@ -208,6 +212,15 @@
 	l.refreshAgents()
 }
 
+// granted notes how many slots an agent lends. Slots lent after a drain end it.
+func (l *loop) granted(agent uint64, g *wirepb.SlotGrant) {
+	l.dispatch.Granted(agent, g)
+	if g.Slots > 0 && l.draining[agent] {
+		delete(l.draining, agent)
+		l.refreshAgents()
+	}
+}
+
 func (l *loop) adoptTeams() {
 	teams := make([]placement.Team, 0, len(l.view.Teams))
 	for _, name := range slices.Sorted(maps.Keys(l.view.Teams)) {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -168,7 +168,7 @@
 	case *wirepb.Envelope_ClaimReport:
 		l.claimReport(agent, body.ClaimReport)
 	case *wirepb.Envelope_SlotGrant:
-		l.dispatch.Granted(agent, body.SlotGrant)
+		l.granted(agent, body.SlotGrant)
 	case *wirepb.Envelope_AgentLoad:
 		l.dispatch.Load(agent, body.AgentLoad)
 	case *wirepb.Envelope_Draining:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,8 +26,8 @@
 	metrics  *observe.Metrics
 	tls      *tls.Config
 	// cut ends every role at once.
-	cut context.CancelFunc
-	debug    *observe.DebugServer
+	cut   context.CancelFunc
+	debug *observe.DebugServer
 
 	control *control.Process
 	agent   *agent.Process
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -162,6 +162,14 @@
 	return nil
 }
 
+// addMember starts a control process that waits to be added to the quorum.
+func (f *fleet) addMember(id int) error {
+	m := member{id: id, name: fmt.Sprintf("control-%d", id)}
+	f.members = append(f.members, m)
+	f.node(m.name, f.controlSettings(m, true))
+	return f.start(m.name)
+}
+
 // setCut silences or restores every link from and to a process.
 func (f *fleet) setCut(name string, cut bool) {
 	f.mu.Lock()
