--- a/internal/agent/minion.go
+++ b/internal/agent/minion.go
@@ -86,7 +86,7 @@
 
 // run sends one task and waits for its end. A budget of 0 is no limit; the
 // minion is told it and the gate enforces it. refused tells that the minion
-// accepts no connections.
+// accepts no connections or has no free slot.
 func (m *minionClient) run(ctx context.Context, t *wirepb.StartTask, budget time.Duration) (end gate.Ending, refused bool) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -100,6 +100,7 @@
 		refused = dialFailed(err) && ctx.Err() == nil
 		end = sendFailed(t, err, connected.Load())
 	} else {
+		refused = resp.StatusCode == http.StatusTooManyRequests
 		end = m.answer(t, resp)
 	}
 	end.Run = time.Since(began)
@@ -140,6 +141,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := readBounded(resp, m.maxResult+1)
 	switch {
+	case resp.StatusCode == http.StatusTooManyRequests:
+		// By this status the minion says that it has not started the task.
+		return ending(t, gate.EndUnsent, gate.ReasonMinionBusy, "")
 	case err != nil:
 		return ending(t, gate.EndError, gate.ReasonMinionLost, err.Error())
 	case resp.StatusCode/100 != 2:
--- a/internal/entry/httpapi/api.go
+++ b/internal/entry/httpapi/api.go
@@ -37,6 +37,9 @@
 	Apply(ctx context.Context, c Change) (*resource.Object, error)
 	Instances() []resource.InstanceStatus
 	Members(ctx context.Context) (*resource.Members, error)
+	// Viewed tells why no resources can be read; nil once the entry has a
+	// confirmed view of them.
+	Viewed() error
 	// Ready tells why no jobs are taken now; nil when they are.
 	Ready() error
 }
@@ -98,12 +101,12 @@
 func (a *api) operatorRoutes(e *echo.Echo) {
 	for _, kind := range resource.Kinds() {
 		path := "/v1/" + kind.Plural()
-		e.GET(path, a.listResources(kind), a.operator)
-		e.GET(path+"/:name", a.getResource(kind), a.operator)
+		e.GET(path, a.listResources(kind), a.operator, a.viewed)
+		e.GET(path+"/:name", a.getResource(kind), a.operator, a.viewed)
 		e.PUT(path+"/:name", a.putResource(kind), a.operator)
 		e.DELETE(path+"/:name", a.deleteResource(kind), a.operator)
 	}
-	e.GET("/v1/instances", a.instances, a.operator)
+	e.GET("/v1/instances", a.instances, a.operator, a.viewed)
 	e.GET("/v1/members", a.members, a.operator)
 	e.GET("/debug/state", a.state, a.operator)
 }
--- a/internal/entry/httpapi/api_test.go
+++ b/internal/entry/httpapi/api_test.go
@@ -61,6 +61,8 @@
 	return &resource.Members{}, nil
 }
 
+func (b *fakeBackend) Viewed() error { return nil }
+
 func (b *fakeBackend) Ready() error { return nil }
 
 func testOptions() Options {
--- a/internal/entry/resources.go
+++ b/internal/entry/resources.go
@@ -28,6 +28,14 @@
 	return list
 }
 
+// Viewed tells whether resources can be read: control has confirmed a view.
+func (p *Process) Viewed() error {
+	if p.views.get().view.Revision == 0 {
+		return unavailable("no confirmed configuration yet")
+	}
+	return nil
+}
+
 // Get returns one resource in force at this entry; nil when there is none.
 func (p *Process) Get(kind resource.Kind, name string) *resource.Object {
 	view := p.views.get().view
--- a/internal/gate/end.go
+++ b/internal/gate/end.go
@@ -10,7 +10,8 @@
 	EndResult EndKind = iota
 	// EndError: the request was sent, at least in part, and has no result.
 	EndError
-	// EndUnsent: nothing of the request was sent, so nothing of it ran.
+	// EndUnsent: nothing of the request was sent, or the minion turned it away
+	// before it started, so nothing of it ran.
 	EndUnsent
 )
 
--- a/internal/gate/reason.go
+++ b/internal/gate/reason.go
@@ -17,6 +17,8 @@
 	ReasonUnconfirmed
 	// ReasonMinionDown: the minion accepts no connections.
 	ReasonMinionDown
+	// ReasonMinionBusy: the minion answered that it has no free slot.
+	ReasonMinionBusy
 	// ReasonResultsFull: too many bytes of results are not safe yet.
 	ReasonResultsFull
 	// ReasonQueueFull: the queue is at its bound of tasks or bytes.
@@ -53,6 +55,7 @@
 	ReasonLease:          "lease",
 	ReasonUnconfirmed:    "unconfirmed",
 	ReasonMinionDown:     "minion_down",
+	ReasonMinionBusy:     "minion_busy",
 	ReasonResultsFull:    "results_full",
 	ReasonQueueFull:      "queue_full",
 	ReasonUnknownService: "unknown_service",
