--- a/internal/quorum/rules_test.go
+++ b/internal/quorum/rules_test.go
@@ -118,3 +118,18 @@
 func heartbeatResponse(round uint64) *wirepb.HeartbeatResponse {
 	return &wirepb.HeartbeatResponse{Round: round}
 }
+
+// TestLostMeansNever: a proposal that was replaced in this log may still be
+// committed from another one, until something else is committed in its place.
+func TestLostMeansNever(t *testing.T) {
+	c := alone(t)
+	lead(t, c)
+	first, term, err := c.Propose([]byte("a"), []byte("b"))
+	assert.NilError(t, err)
+	c.Ready()
+	other := []*wirepb.Entry{{Index: first, Term: 5}}
+	step(t, c, 2, 5, appendMessage(&wirepb.AppendRequest{PrevIndex: first - 1, PrevTerm: 4, Entries: other}))
+	assert.Equal(t, len(c.Ready().Lost), 0)
+	step(t, c, 2, 5, appendMessage(&wirepb.AppendRequest{PrevIndex: first, PrevTerm: 5, Commit: first}))
+	assert.DeepEqual(t, c.Ready().Lost, []Span{{First: first, Last: first, Term: term}})
+}
