--- a/internal/quorum/chaos_test.go
+++ b/internal/quorum/chaos_test.go
@@ -130,6 +130,7 @@
 	{3, 6, (*chaos).restartAll},
 	{1, 2, (*chaos).cutOne},
 	{1, 2, (*chaos).cutHalf},
+	{2, 2, (*chaos).freezeLeader},
 	{3, 3, (*chaos).heal},
 	{2, 2, (*chaos).snapshotOne},
 	{4, 4, (*chaos).change},
@@ -205,7 +206,24 @@
 	if x.between(0, 1) == 0 {
 		stopped = x.target().id
 	}
-	for range x.between(1, 3*testElectionTicks) {
+	x.work(x.between(1, 3*testElectionTicks), stopped)
+}
+
+// freezeLeader cuts a leader off and stops its clock until another may lead,
+// so that it does not know.
+func (x *chaos) freezeLeader() {
+	h := x.leader()
+	if h == nil {
+		return
+	}
+	x.cut = func(from, to uint64) bool { return from == h.id || to == h.id }
+	x.work(x.between(testElectionTicks, 3*testElectionTicks), h.id)
+}
+
+// work lets all members but one with a stopped clock tick, sync and exchange
+// messages.
+func (x *chaos) work(ticks int, stopped uint64) {
+	for range ticks {
 		x.now++
 		for _, id := range x.ids {
 			if h := x.hosts[id]; h.core != nil {
