--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -44,6 +44,7 @@
 	var syncs atomic.Int64
 	c := startCluster(b, 3, func(o *Options) {
 		o.Tick = 50 * time.Millisecond
+		o.Lease = time.Hour
 		o.wrapLog = func(log appender) appender { return slowLog{log, &syncs, delay} }
 	})
 	var clients []*controlclient.Client
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-func changeMembers(t *testing.T, client controlclient.Control, action wirepb.MembershipAction, p Peer, replace uint64) {
+func changeMembers(t testing.TB, client controlclient.Control, action wirepb.MembershipAction, p Peer, replace uint64) {
 	_, err := client.Membership(context.Background(), &wirepb.MembershipRequest{
 		Action: action, Replace: replace,
 		Member: &wirepb.Member{Id: p.ID, Name: p.Name, Address: p.Address},
--- a/internal/control/spread_test.go
+++ b/internal/control/spread_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,15 +37,19 @@
 	slowed := func(log appender) appender { return slowLog{log, &atomic.Int64{}, delay} }
 	c := startCluster(b, 3, func(o *Options) {
 		o.Tick = 50 * time.Millisecond
+		o.Lease = time.Hour
 		o.wrapLog = slowed
 	})
 	client := c.client()
 	owner := register(b, client, "a")
-	plain, _, err := wal.Open(b.TempDir(), wal.Options{})
-	assert.NilError(b, err)
-	defer func() { _ = plain.Close() }()
-	log := slowed(plain)
-	var trips, syncs, accepts []time.Duration
+	var logs []appender
+	for range 3 {
+		log, _, err := wal.Open(b.TempDir(), wal.Options{})
+		assert.NilError(b, err)
+		defer func() { _ = log.Close() }()
+		logs = append(logs, slowed(log))
+	}
+	var trips, syncs, quorums, accepts []time.Duration
 	timed := func(into *[]time.Duration, do func() error) {
 		began := time.Now()
 		assert.NilError(b, do())
@@ -56,19 +62,38 @@
 			})
 			return err
 		})
-		timed(&syncs, func() error {
-			return log.Append(&wirepb.LogRecord{Entries: []*wirepb.Entry{{Index: uint64(i + 1), Data: make([]byte, 200)}}})
-		})
+		record := &wirepb.LogRecord{Entries: []*wirepb.Entry{{Index: uint64(i + 1), Data: make([]byte, 200)}}}
+		timed(&syncs, func() error { return logs[0].Append(record) })
+		taken, err := appendToQuorum(logs, record)
+		assert.NilError(b, err)
+		quorums = append(quorums, taken)
 		timed(&accepts, func() error {
 			_, err := client.Accept(context.Background(), acceptRequest(owner, fmt.Sprint("s", i)))
 			return err
 		})
 	}
-	trip, sync, accept := median(trips), median(syncs), median(accepts)
+	trip, oneSync, quorum, accept := median(trips), median(syncs), median(quorums), median(accepts)
 	b.ReportMetric(float64(trip.Microseconds()), "trip_us")
-	b.ReportMetric(float64(sync.Microseconds()), "sync_us")
+	b.ReportMetric(float64(oneSync.Microseconds()), "sync_us")
 	b.ReportMetric(float64(accept.Microseconds()), "accept_us")
-	b.ReportMetric(float64(accept)/float64(2*trip+sync), "accept/(2trips+sync)")
+	b.ReportMetric(float64(quorum.Microseconds()), "quorum_sync_us")
+	b.ReportMetric(float64(accept)/float64(2*trip+oneSync), "accept/(2trips+sync)")
+	b.ReportMetric(float64(accept)/float64(2*trip+quorum), "accept/(2trips+quorum_sync)")
+}
+
+// appendToQuorum syncs three logs at once, as three members on one disk do,
+// and returns the time until two are done.
+func appendToQuorum(logs []appender, record *wirepb.LogRecord) (time.Duration, error) {
+	began := time.Now()
+	done := make(chan error, len(logs))
+	var all sync.WaitGroup
+	for _, log := range logs {
+		all.Go(func() { done <- log.Append(record) })
+	}
+	first, second := <-done, <-done
+	quorum := time.Since(began)
+	all.Wait()
+	return quorum, errors.Join(first, second)
 }
 
 // BenchmarkChangesToFollowers counts what one change costs when 40 processes
@@ -84,6 +109,7 @@
 	scope := tally.NewTestScope("", nil)
 	c := startCluster(b, 3, func(o *Options) {
 		o.Tick = 50 * time.Millisecond
+		o.Lease = time.Hour
 		o.Scope = scope
 	})
 	client := c.client()
@@ -152,6 +178,7 @@
 func benchmarkRestart(b *testing.B, changes int, fromSnapshot bool) {
 	c := startCluster(b, 3, func(o *Options) {
 		o.Tick = 50 * time.Millisecond
+		o.Lease = time.Hour
 		if fromSnapshot {
 			o.SnapshotEntries = uint64(changes) / 2
 			o.RetainEntries = 1
--- a/internal/ledger/memory_test.go
+++ b/internal/ledger/memory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -74,7 +75,10 @@
 		fill(b, l, next, n, func(i uint64) *wirepb.Command { return completeCommand(i - uint64(n)) })
 		b.ReportMetric((heapBytes()-empty)/float64(n), "B/ended_job")
 		var buf bytes.Buffer
-		assert.NilError(b, l.Freeze().Encode(&buf))
+		began := time.Now()
+		frozen := l.Freeze()
+		b.ReportMetric(float64(time.Since(began).Microseconds()), "freeze_us")
+		assert.NilError(b, frozen.Encode(&buf))
 		b.ReportMetric(float64(buf.Len())/float64(n), "snapshot_B/ended_job")
 		buf = bytes.Buffer{}
 		next += uint64(n)
