--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,8 @@
 
 // grammar is the program's command line.
 type grammar struct {
+	Serve    serveCommand    `cmd:"" help:"Run the roles that a settings file names."`
+	Demo     demoCommand     `cmd:"" help:"Run every role in one process and one job through them."`
 	Minion   minionCommand   `cmd:"" help:"Run the stand-in minion."`
 	Bench    benchCommand    `cmd:"" help:"Load running entries and report lag, failures and messages."`
 	Check    checkCommand    `cmd:"" help:"Print every finding of a settings file; start nothing."`
@@ -38,6 +40,7 @@
 	Apply    applyCommand    `cmd:"" help:"Write a resource."`
 	Watch    watchCommand    `cmd:"" help:"Print resources and their changes."`
 	Drain    drainCommand    `cmd:"" help:"Take an endpoint out of work, or back."`
+	Member   memberCommand   `cmd:"" help:"Show and change the control members."`
 	Dump     dumpCommand     `cmd:"" help:"Print the state of a process."`
 	Settings settingsCommand `cmd:"" help:"Print the settings reference."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -11,7 +11,9 @@
 type agent struct {
 	incarnation uint64
 	// up: a session to it is established.
-	up    bool
+	up bool
+	// met: there was a session before.
+	met   bool
 	ended bool
 	clean bool
 	// endIndex is the log index of the record that ended it.
@@ -33,15 +35,27 @@
 	if a.ended {
 		return
 	}
-	a.up = true
+	again := a.met
+	a.up, a.met = true, true
 	for _, g := range o.sortedGroups() {
 		if !g.settled && !g.answered[incarnation] {
 			o.sendClaim(g, incarnation)
 		}
+		if again && g.loaded {
+			// What it was told to forget may have been lost; the floor of an
+			// empty message makes up for it.
+			o.batches.forget(incarnation, g)
+		}
 	}
 	o.query(incarnation)
 }
 
+// up tells whether there is a session to the agent.
+func (o *Owner) up(incarnation uint64) bool {
+	a := o.agents[incarnation]
+	return a != nil && a.up
+}
+
 // AgentDown notes that the session to the incarnation ended. What it holds
 // stays in doubt until it is back or has ended.
 func (o *Owner) AgentDown(incarnation uint64) {
@@ -61,12 +75,17 @@
 	}
 	a.ended, a.clean, a.endIndex, a.up = true, clean, endIndex, false
 	o.batches.dropAgent(incarnation)
+	o.resolveEnded(a, now)
+	o.settleGroups(now)
+}
+
+// resolveEnded resolves what an ended agent held of all jobs.
+func (o *Owner) resolveEnded(a *agent, now time.Time) {
 	for _, j := range o.sortedJobs() {
-		if slices.Contains(j.agents, incarnation) {
-			o.endAt(j, incarnation, clean, now)
+		if slices.Contains(j.agents, a.incarnation) {
+			o.endAt(j, a.incarnation, a.clean, now)
 		}
 	}
-	o.settleGroups(now)
 }
 
 // AgentGone drops an ended incarnation that control no longer lists. A claim
@@ -152,7 +171,7 @@
 		}
 		for i := range j.tasks {
 			if t := &j.tasks[i]; t.agent == incarnation && t.atAgent() {
-				o.batches.cancel(incarnation, j, uint32(i))
+				o.cancelTask(j, uint32(i))
 			}
 		}
 	}
@@ -165,15 +184,14 @@
 	}
 }
 
-// Recall asks an agent to give a queued task back.
+// Recall asks an agent to give a task back if it has not started it.
 func (o *Owner) Recall(id uint64, index uint32) {
 	j := o.jobs[id]
 	if j == nil || int(index) >= len(j.tasks) {
 		return
 	}
 	t := &j.tasks[index]
-	a := o.agents[t.agent]
-	if t.state == taskQueued && a != nil && a.up {
+	if (t.state == taskSent || t.state == taskQueued) && o.up(t.agent) {
 		o.batches.recall(t.agent, j, index)
 	}
 }
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -110,6 +110,12 @@
 	for _, e := range early {
 		o.claimUpdate(g, e, now)
 	}
+	// An agent may have reported and ended before the jobs were loaded.
+	for _, a := range o.sortedAgents() {
+		if a.ended {
+			o.resolveEnded(a, now)
+		}
+	}
 	o.settleGroup(g, now)
 }
 
@@ -143,15 +149,15 @@
 }
 
 // claimUpdate takes one task of a claim report. An agent that still remembers
-// a job which has ended is told to forget it.
+// a job which has ended is told to stop it and to forget it.
 func (o *Owner) claimUpdate(g *group, e earlyUpdate, now time.Time) {
 	switch {
 	case o.jobs[e.update.Job] != nil:
 		o.Update(e.agent, e.update, now)
 	case !g.loaded:
 		g.early = append(g.early, e)
-	default:
-		o.batches.forgetOnce(e.agent, g, e.update.Job)
+	case o.up(e.agent):
+		o.batches.stopEnded(e.agent, g, e.update)
 	}
 }
 
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -87,19 +87,16 @@
 	}
 }
 
-// Assign sends a waiting task to an agent; ok is false when the task does not
-// wait or the agent can't be reached, and nothing was sent then.
-func (o *Owner) Assign(id uint64, index uint32, agent uint64, now time.Time) (ok bool) {
+// Assign sends a waiting task to an agent, with the key that orders it there;
+// ok is false when the task does not wait or the agent can't be reached, and
+// nothing was sent then.
+func (o *Owner) Assign(id uint64, index uint32, agent, key uint64, now time.Time) (ok bool) {
 	j := o.jobs[id]
 	if j == nil || int(index) >= len(j.tasks) || j.state != jobOpen {
 		return false
 	}
-	a := o.agents[agent]
-	if a == nil || !a.up || a.ended {
-		return false
-	}
 	t := &j.tasks[index]
-	if !j.step(t, evSend) {
+	if !o.up(agent) || !j.step(t, evSend) {
 		return false
 	}
 	t.agent = agent
@@ -107,11 +104,11 @@
 	t.inherited = false
 	j.touch(agent)
 	o.stats.Placed++
-	o.fx.Send(agent, startEnvelope(j, index, now))
+	o.fx.Send(agent, startEnvelope(j, index, key, now))
 	return true
 }
 
-func startEnvelope(j *job, index uint32, now time.Time) *wirepb.Envelope {
+func startEnvelope(j *job, index uint32, key uint64, now time.Time) *wirepb.Envelope {
 	t := &j.tasks[index]
 	spec := j.spec.Tasks[index]
 	start := &wirepb.StartTask{
@@ -120,7 +117,7 @@
 		Incarnation: t.agent, Attempt: t.attempt,
 		Service: j.spec.Service, Team: j.spec.Team,
 		Payload: spec.Payload, DeclaredMs: spec.DeclaredMs,
-		BudgetMs: budget(j.deadline, now),
+		BudgetMs: budget(j.deadline, now), Key: key,
 	}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_StartTask{StartTask: start}}
 }
@@ -221,7 +218,7 @@
 // it was unknown where it is when the job began to fail.
 func (o *Owner) cancelAdopted(j *job, t *task, index uint32) {
 	if t.inherited && (j.state == jobFailing || j.answered()) {
-		o.batches.cancel(t.agent, j, index)
+		o.cancelTask(j, index)
 	}
 }
 
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -62,11 +62,11 @@
 	ids []uint64
 	// termStart is the index of the first entry of the leader's term.
 	termStart uint64
-	// beatCommit is commit at the last heartbeat.
-	beatCommit   uint64
-	transferee   uint64
-	transferLeft int
-	reads        readState
+	// lastBeat and beatBefore are commit at the last two heartbeats.
+	lastBeat, beatBefore uint64
+	transferee           uint64
+	transferLeft         int
+	reads                readState
 }
 
 // New starts a member from what its disk gave back.
@@ -242,6 +242,10 @@
 	}
 }
 
+// Membership returns the configuration in force, committed or not. It is
+// shared with the core and must not be changed.
+func (c *Core) Membership() Membership { return c.membership() }
+
 // membership returns the configuration in force.
 func (c *Core) membership() Membership { return c.configs[len(c.configs)-1].membership }
 
