--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	defaultAgingPerTask = 10 * time.Millisecond
+	defaultAgingPerTask = 6 * time.Millisecond
 	defaultMaxWaiting   = 100_000
 	defaultMaxBytes     = 256 << 20
 	defaultMaxWait      = 10 * time.Second
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -141,6 +141,7 @@
 func (d *Dispatcher) judgeDone(a *agent, stay, run time.Duration, expected float64, now time.Time) {
 	a.pool.failures -= outcomeWeight * a.pool.failures
 	a.pool.stays.add(stay, historyTasks*float64(max(a.pool.members, 1)))
+	a.pool.pipeline.add(stay.Seconds(), run.Seconds())
 	a.health.add(stay, historyTasks)
 	if now.Sub(d.epoch)-stay >= a.health.streakSince {
 		a.health.streak = 0
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -41,6 +41,12 @@
 
 func pickAny(p *pool, r *rand.Rand) *agent { return p.ready[r.IntN(len(p.ready))] }
 
+// pipelined is the number of slots and what travels meanwhile.
+func (a *agent) pipelined() int {
+	slots := int(a.info.Slots)
+	return slots + a.pool.pipeline.extra(slots)
+}
+
 type randomPolicy struct{}
 
 func (randomPolicy) limit(a *agent) int                { return earlyWindow * int(a.info.Slots) }
@@ -50,14 +56,14 @@
 
 type leastOutstanding struct{}
 
-func (leastOutstanding) limit(a *agent) int                { return int(a.info.Slots) }
+func (leastOutstanding) limit(a *agent) int                { return a.pipelined() }
 func (leastOutstanding) demands() bool                     { return false }
 func (leastOutstanding) score(a *agent) int                { return a.outstanding }
 func (leastOutstanding) pick(p *pool, r *rand.Rand) *agent { return pickBest(p, r) }
 
 type twoChoices struct{}
 
-func (twoChoices) limit(a *agent) int { return int(a.info.Slots) }
+func (twoChoices) limit(a *agent) int { return a.pipelined() }
 func (twoChoices) demands() bool      { return false }
 func (twoChoices) score(a *agent) int { return a.load() }
 func (twoChoices) pick(p *pool, r *rand.Rand) *agent {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -23,6 +23,7 @@
 	ejected   int     // agents that get probes only
 	failures  float64 // recent share of failed tasks
 	stays     history // of the tasks at all agents
+	pipeline  pipeline
 	ready     []*agent
 	levels    [levelCount][]*agent
 	used      [levelCount / wordBits]uint64
