--- a/internal/entry/convert.go
+++ b/internal/entry/convert.go
@@ -74,7 +74,7 @@
 	spec := rec.GetSpec()
 	j := &apijob.Job{
 		ID: apijob.FormatID(rec.Job), SubmissionID: spec.GetSubmission(), Team: spec.GetTeam(), Service: spec.GetService(),
-		Unrepeatable: spec.GetUnrepeatable(), State: apijob.Open, Tasks: len(spec.GetTasks()),
+		Unrepeatable: spec.GetUnrepeatable(), State: apijob.Open, Tasks: max(len(spec.GetTasks()), int(spec.GetTaskCount())),
 		AcceptedAt: wallTime(rec.AcceptedUnixMs),
 	}
 	if ended(rec) {
--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -69,6 +69,7 @@
 		digest:     r.Digest,
 		timeoutMs:  r.Spec.TimeoutMs,
 		unrepeated: r.Spec.Unrepeatable,
+		taskCount:  uint32(len(r.Spec.Tasks)),
 		state:      jobChart.Initial(),
 		tasks:      r.Spec.Tasks,
 		acceptedMs: l.clock,
@@ -178,6 +179,7 @@
 		Service:      j.service.Value(),
 		Unrepeatable: j.unrepeated,
 		TimeoutMs:    j.timeoutMs,
+		TaskCount:    j.taskCount,
 	}
 }
 
--- a/internal/ledger/jobtable.go
+++ b/internal/ledger/jobtable.go
@@ -53,6 +53,7 @@
 	digest     []byte
 	timeoutMs  uint64
 	unrepeated bool
+	taskCount  uint32
 	state      statechart.State
 	tasks      []*wirepb.Task // while open
 	answer     []byte         // encoded JobAnswer, once ended
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -251,6 +251,7 @@
 		digest:     r.Digest,
 		timeoutMs:  r.Spec.TimeoutMs,
 		unrepeated: r.Spec.Unrepeatable,
+		taskCount:  r.Spec.TaskCount,
 		state:      chartState(r.State),
 		tasks:      r.Spec.Tasks,
 		acceptedMs: r.AcceptedUnixMs,
