--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -23,7 +23,12 @@
 	"endivewing/internal/wire"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if !runRole() {
+		goleak.VerifyTestMain(m)
+	}
+}
 
 const (
 	notRun  = wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN
@@ -50,6 +55,18 @@
 	granted uint32
 	// left receives what the agent says when it leaves.
 	left chan *wirepb.LeaveRequest
+	// cut makes the agent's syncs fail; refused counts those.
+	cut     atomic.Bool
+	refused atomic.Int64
+}
+
+// Sync fails while the agent is cut off.
+func (f *fixture) Sync(ctx context.Context, r *wirepb.SyncRequest) (*wirepb.SyncResponse, error) {
+	if f.cut.Load() {
+		f.refused.Add(1)
+		return nil, controlclient.ErrNotRun
+	}
+	return f.Control.Sync(ctx, r)
 }
 
 // Leave notes the request on its way to control.
@@ -59,11 +76,18 @@
 }
 
 func newFixture(t testing.TB, slots int) *fixture {
-	f := &fixture{t: t, control: controlfake.New(), record: filepath.Join(t.TempDir(), "record")}
+	record := filepath.Join(t.TempDir(), "record")
+	m := startMinion(t, standin.Options{RecordPath: record})
+	f := newFixtureWith(t, m.URL(), slots)
+	f.minion, f.record = m, record
+	return f
+}
+
+// newFixtureWith leaves the minion to the caller.
+func newFixtureWith(t testing.TB, minionURL string, slots int) *fixture {
+	f := &fixture{t: t, control: controlfake.New(), left: make(chan *wirepb.LeaveRequest, 1)}
 	f.Control = f.control
-	f.left = make(chan *wirepb.LeaveRequest, 1)
-	f.startMinion(standin.Options{RecordPath: f.record})
-	f.startAgent(f.minion.URL(), slots)
+	f.startAgent(minionURL, slots)
 	f.entry = controlclient.Follow(context.Background(), f.control, controlclient.FollowOptions{
 		Instance: &wirepb.Instance{Kind: wirepb.InstanceKind_INSTANCE_KIND_ENTRY, Name: "e"}, Log: logr.Discard(),
 	})
@@ -73,11 +97,11 @@
 	return f
 }
 
-func (f *fixture) startMinion(opts standin.Options) {
+func startMinion(t testing.TB, opts standin.Options) *standin.Minion {
 	m, err := standin.Start(opts)
-	assert.NilError(f.t, err)
-	f.t.Cleanup(m.Stop)
-	f.minion = m
+	assert.NilError(t, err)
+	t.Cleanup(m.Stop)
+	return m
 }
 
 func (f *fixture) startAgent(minionURL string, slots int) {
@@ -299,7 +323,7 @@
 	f.start(2, 1, "x")
 	f.wantUpdate(2, notRun, "minion_down")
 	f.awaitGrant(0)
-	f.startMinion(standin.Options{Listen: address, RecordPath: f.record})
+	f.minion = startMinion(t, standin.Options{Listen: address, RecordPath: f.record})
 	f.awaitGrant(1)
 	f.start(1, 2, "x")
 	f.wantUpdate(1, failed, "minion_lost")
@@ -317,11 +341,13 @@
 	f.control.SetLease(time.Millisecond)
 	f.wantUpdate(2, notRun, "lease")
 	f.awaitGrant(0)
-	f.control.FailWith(func(string) error { return errors.New("cut off") })
+	f.cut.Store(true)
+	f.until("no sync is in flight", func() bool { return f.refused.Load() > 0 })
+	f.until("the last lease has ended", func() bool { return !f.agent.follower.LeaseValid(time.Now()) })
 	f.start(3, 1, "x")
 	f.wantUpdate(3, notRun, "lease")
 	f.control.SetLease(controlfake.DefaultLease)
-	f.control.FailWith(nil)
+	f.cut.Store(false)
 	f.awaitGrant(1)
 	f.minion.Release()
 	f.wantUpdate(1, done, "")
