Ask again about entries that were compacted since

It had all that was sent, its answers were lost, and the log before the last one sent was compacted: the leader could not build the question and, with its window full, sent nothing more. A member that is probed about the end of the log is asked again at each heartbeat. TestLostAnswersBeforeCompaction fails without either.

--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -101,6 +101,28 @@
 	assert.Equal(t, c.hosts[away].app.applied, lead.app.applied)
 }
 
+// TestLostAnswersBeforeCompaction: a member has all that was sent, its answers
+// are lost, and the log that they were about is compacted.
+func TestLostAnswersBeforeCompaction(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.elect()
+	deaf := lead.id%3 + 1
+	c.tick(testElectionTicks)
+	c.cut = func(from, _ uint64) bool { return from == deaf }
+	for range 6 {
+		c.propose(lead, []byte("a"))
+	}
+	c.tick(4 * testHeartbeatTicks)
+	c.snapshot(lead, 0)
+	// The first question after it is lost too.
+	c.cut = func(from, to uint64) bool { return to == deaf }
+	c.tick(testHeartbeatTicks)
+	c.cut = func(uint64, uint64) bool { return false }
+	c.tick(4 * testHeartbeatTicks)
+	assert.Equal(t, c.hosts[deaf].app.applied, lead.app.applied)
+	assert.Equal(t, lead.core.lead.peers[deaf].match, lead.core.log.last())
+}
+
 func TestCutLeaderStepsDown(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.elect()
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -122,9 +122,12 @@
 	switch p.state {
 	case probing:
 		p.probed = false
+		if p.match < c.log.last() && c.log.last() < p.next {
+			c.askAgain(id, p)
+		}
 	case replicating:
 		if p.match == p.beatMatch && p.match+1 < p.next {
-			c.sendAppend(id, p, nil)
+			c.askAgain(id, p)
 		}
 	case snapshotting:
 		p.waitTicks += c.cfg.HeartbeatTicks
@@ -135,6 +138,15 @@
 	p.beatMatch = p.match
 }
 
+// askAgain asks for an answer to what was sent. When the log no longer tells
+// the term there, it asks from its start on.
+func (c *Core) askAgain(id uint64, p *progress) {
+	if p.next <= c.log.baseIndex {
+		p.probe(c.log.first())
+	}
+	c.sendAppend(id, p, nil)
+}
+
 func (c *Core) sendHeartbeat(id uint64, p *progress) {
 	prev := p.match
 	if p.state == replicating {
