--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -220,9 +220,7 @@
 // awaitServing waits until every entry is ready and sees every agent.
 func (f *fleet) awaitServing(s size) error {
 	for _, c := range f.entries() {
-		err := eventually(func(ctx context.Context) error {
-			return c.Get(ctx, "/readyz", nil)
-		})
+		err := eventually(func(ctx context.Context) error { return entryServes(ctx, c, s.agent) })
 		if err != nil {
 			return fmt.Errorf("entry not ready: %w", err)
 		}
@@ -230,6 +228,26 @@
 	return nil
 }
 
+func entryServes(ctx context.Context, c *apiclient.Client, agents int) error {
+	if err := c.Get(ctx, "/readyz", nil); err != nil {
+		return err
+	}
+	var state struct {
+		Roles struct {
+			Entry struct {
+				AgentSessions int `json:"agentSessions"`
+			} `json:"entry"`
+		} `json:"roles"`
+	}
+	if err := c.Get(ctx, "/debug/state", &state); err != nil {
+		return err
+	}
+	if n := state.Roles.Entry.AgentSessions; n < agents {
+		return fmt.Errorf("sessions with %d of %d agents", n, agents)
+	}
+	return nil
+}
+
 // eventually repeats a check until it passes or the hang guard ends it.
 func eventually(check func(ctx context.Context) error) error {
 	ctx, stop := context.WithTimeout(context.Background(), hangGuard)
