--- a/internal/control/install.go
+++ b/internal/control/install.go
@@ -28,19 +28,48 @@
 	stop context.CancelFunc
 	wait sync.WaitGroup
 
+	// begin is held while one arriving snapshot takes the place of others.
+	begin sync.Mutex
+
 	mu      sync.Mutex
 	sending map[uint64]bool
 	// incoming are the snapshots that arrive, by session.
 	incoming map[*wire.Session]*incoming
 }
 
-// incoming is a snapshot that arrives.
+// incoming is a snapshot that arrives. Its session's end may drop it while a
+// chunk is written.
 type incoming struct {
-	offer  *wirepb.CoreMessage
+	offer *wirepb.CoreMessage
+
+	mu     sync.Mutex
 	writer *snapshot.Writer
 	offset uint64
 }
 
+// add writes a chunk; the last one makes the snapshot durable.
+func (in *incoming) add(chunk *wirepb.SnapshotChunk) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if chunk.Offset != in.offset {
+		return eris.Errorf("chunk at %d, want %d", chunk.Offset, in.offset)
+	}
+	if _, err := in.writer.Write(chunk.Data); err != nil {
+		return err
+	}
+	in.offset += uint64(len(chunk.Data))
+	if !chunk.Last {
+		return nil
+	}
+	return in.writer.Commit()
+}
+
+func (in *incoming) abort() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.writer.Abort()
+}
+
 func (x *installs) init(p *Process) {
 	x.p = p
 	x.ctx, x.stop = context.WithCancel(context.Background())
@@ -51,11 +80,7 @@
 func (x *installs) close() {
 	x.stop()
 	x.wait.Wait()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, in := range x.incoming {
-		in.writer.Abort()
-	}
+	x.dropAll()
 }
 
 // offer sends the newest snapshot to the member that a message is for.
@@ -134,24 +159,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if chunk.Offset != in.offset {
-		return nil, eris.Errorf("chunk at %d, want %d", chunk.Offset, in.offset)
-	}
-	if _, err := in.writer.Write(chunk.Data); err != nil {
-		return nil, err
-	}
-	in.offset += uint64(len(chunk.Data))
-	if !chunk.Last {
-		return nil, nil
-	}
-	if err := in.writer.Commit(); err != nil {
+	if err := in.add(chunk); err != nil || !chunk.Last {
 		return nil, err
 	}
 	x.drop(s)
 	return x.decode(in.offer)
 }
 
-// arriving returns the snapshot that a chunk belongs to; an offer begins one.
+// arriving returns the snapshot that a chunk belongs to. An offer begins one
+// and ends any other: two with one index would write the same file.
 func (x *installs) arriving(s *wire.Session, chunk *wirepb.SnapshotChunk) (*incoming, error) {
 	if chunk.Offer == nil {
 		x.mu.Lock()
@@ -161,7 +177,9 @@
 		}
 		return nil, eris.New("chunk without an offer")
 	}
-	x.drop(s)
+	x.begin.Lock()
+	defer x.begin.Unlock()
+	x.dropAll()
 	w, err := snapshot.Create(x.p.snapshotDir(), chunk.Offer.GetInstallSnapshot().GetMeta())
 	if err != nil {
 		return nil, err
@@ -193,9 +211,20 @@
 // drop ends what arrives on a session.
 func (x *installs) drop(s *wire.Session) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	if in := x.incoming[s]; in != nil {
-		in.writer.Abort()
-		delete(x.incoming, s)
+	in := x.incoming[s]
+	delete(x.incoming, s)
+	x.mu.Unlock()
+	if in != nil {
+		in.abort()
+	}
+}
+
+func (x *installs) dropAll() {
+	x.mu.Lock()
+	all := x.incoming
+	x.incoming = map[*wire.Session]*incoming{}
+	x.mu.Unlock()
+	for _, in := range all {
+		in.abort()
 	}
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -191,7 +191,7 @@
 func (l *loop) apply(e *wirepb.Entry) error {
 	l.applied = e.Index
 	l.appliedTerm = e.Term
-	l.snapshots.bytes += int64(len(e.Data))
+	l.snapshots.applied(len(e.Data), int(l.opts.RetainEntries))
 	l.metrics.applied.Inc(1)
 	switch e.Kind {
 	case wirepb.EntryKind_ENTRY_KIND_MEMBERSHIP:
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -33,7 +33,9 @@
 	eventQueue      = 4096
 	maxPending      = 1 << 16
 	maxPendingBytes = 64 << 20
-	snapshotCount   = 100_000
+	// retainBytes bounds the entries kept before a snapshot.
+	retainBytes   = 16 << 20
+	snapshotCount = 100_000
 )
 
 var (
@@ -87,7 +89,7 @@
 	SnapshotEntries uint64
 	SnapshotBytes   int64
 	// RetainEntries are kept in the log before a snapshot, for members a
-	// little behind.
+	// little behind; fewer when they exceed retainBytes.
 	RetainEntries uint64
 
 	TLS   *tls.Config
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -159,7 +159,7 @@
 	return wire.Options{
 		Hello: func() *wirepb.Hello {
 			return &wirepb.Hello{
-				Role: "control", Name: p.opts.Name, Zone: p.opts.Zone,
+				Role: roleControl, Name: p.opts.Name, Zone: p.opts.Zone,
 				Cluster: p.opts.Cluster, Incarnation: p.id.Disk,
 			}
 		},
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -9,6 +9,9 @@
 	"endivewing/internal/wire"
 )
 
+// roleControl is the role in a member's hello.
+const roleControl = "control"
+
 // maxCommandBytes bounds one record, so that it fits in a frame to another
 // member with room to spare.
 const maxCommandBytes = 8 << 20
@@ -42,13 +45,17 @@
 
 // onEnvelope receives messages on sessions that others opened.
 func (p *Process) onEnvelope(s *wire.Session, e *wirepb.Envelope) {
+	fromMember := s.Peer().Role == roleControl
 	if m := e.GetCoreMessage(); m != nil {
+		if !fromMember {
+			return
+		}
 		p.peers.heard(m.From, s)
 		p.post(memberMessage{s, m})
 		return
 	}
 	from := caller{session: s, call: e.Call, lane: laneOf(e)}
-	if chunk := e.GetSnapshotChunk(); chunk != nil {
+	if chunk := e.GetSnapshotChunk(); chunk != nil && fromMember {
 		p.installs.receive(from, chunk)
 		return
 	}
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -11,8 +11,10 @@
 
 // snapshotState is when the next snapshot is due.
 type snapshotState struct {
-	last   uint64 // index of the newest one
-	bytes  int64  // applied since
+	last  uint64 // index of the newest one
+	bytes int64  // applied since
+	// sizes are the bytes of the newest applied entries.
+	sizes  []int
 	saving bool
 	// retry: none is tried before, after one that failed.
 	retry time.Time
@@ -21,6 +23,30 @@
 // snapshotRetry is the pause after a snapshot that found no room.
 const snapshotRetry = 10 * time.Second
 
+// applied notes an entry.
+func (s *snapshotState) applied(bytes, retain int) {
+	s.bytes += int64(bytes)
+	s.sizes = append(s.sizes, bytes)
+	if len(s.sizes) > 2*retain {
+		s.sizes = append([]int(nil), s.sizes[len(s.sizes)-retain:]...)
+	}
+}
+
+// retained is how many entries to keep before a snapshot that covers all but
+// the newest entries.
+func (s *snapshotState) retained(newer, most uint64) uint64 {
+	var n uint64
+	bytes := 0
+	for i := len(s.sizes) - 1 - int(newer); i >= 0 && n < most; i-- {
+		bytes += s.sizes[i]
+		if bytes > retainBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // saveSnapshotIfDue starts to write a snapshot when the log has grown enough.
 // The copy of the ledger is encoded outside the loop.
 func (l *loop) saveSnapshotIfDue() {
@@ -71,12 +97,13 @@
 		return
 	}
 	l.snapshots.last = s.index
-	if err := l.core.Compact(s.index, l.opts.RetainEntries); err != nil {
+	retain := l.snapshots.retained(l.applied-s.index, l.opts.RetainEntries)
+	if err := l.core.Compact(s.index, retain); err != nil {
 		l.opts.Log.Error(err, "log not compacted")
 		return
 	}
-	if s.index > l.opts.RetainEntries {
-		l.p.disk.push(diskJob{release: s.index - l.opts.RetainEntries})
+	if s.index > retain {
+		l.p.disk.push(diskJob{release: s.index - retain})
 	}
 	if err := snapshot.Prune(l.p.snapshotDir(), s.index); err != nil {
 		l.opts.Log.Error(err, "old snapshots stay")
@@ -100,6 +127,7 @@
 	l.appliedTerm = meta.Term
 	l.snapshots.last = meta.Index
 	l.snapshots.bytes = 0
+	l.snapshots.sizes = nil
 	l.disks.learn(l.state)
 	l.linkMembers()
 }
--- a/internal/control/takeover_test.go
+++ b/internal/control/takeover_test.go
@@ -137,3 +137,37 @@
 	assert.Assert(t, !again.Conflict, "a resend gets the first answer")
 	assert.Equal(t, again.Resource.Revision, first.Resource.Revision)
 }
+
+func TestExpiredAnswerIsToldHonestly(t *testing.T) {
+	ctx := context.Background()
+	c := startCluster(t, 3, func(o *Options) { o.Retention = time.Millisecond })
+	client := c.client()
+	owner := register(t, client, "a")
+	request := acceptRequest(owner, "s")
+	job, err := client.Accept(ctx, request)
+	assert.NilError(t, err)
+	_, err = client.Complete(ctx, completeRequest(owner, owner, 1, job.Job.Job))
+	assert.NilError(t, err)
+	until(t, "expiry", func() bool { return c.dump(c.leader()).Ledger.Expired == 1 })
+	again, err := client.Accept(ctx, request)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Outcome, wirepb.AcceptOutcome_ACCEPT_OUTCOME_EXPIRED)
+	assert.Equal(t, again.Job.Job, job.Job.Job)
+	got, err := client.GetJob(ctx, &wirepb.GetJobRequest{Team: "t", Submission: "s"})
+	assert.NilError(t, err)
+	assert.Assert(t, got.Found && got.Job.AnswerExpired)
+	assert.Equal(t, got.Job.State, wirepb.JobState_JOB_STATE_COMPLETE)
+}
+
+func TestDrainingEntryLeavesNothingBehind(t *testing.T) {
+	ctx := context.Background()
+	c := startCluster(t, 3, nil)
+	client := c.client()
+	leaving, staying := follow(t, client, "a"), follow(t, client, "b")
+	gone := leaving.Incarnation()
+	leaving.Drain()
+	until(t, "draining is seen", func() bool { return staying.View().Instances[gone].GetDraining() })
+	assert.NilError(t, leaving.Leave(ctx, true))
+	until(t, "the end is seen", func() bool { return staying.View().Instances[gone] == nil && staying.View().GroupEnded(gone) })
+	assert.Equal(t, staying.View().Groups[staying.Incarnation()].Epoch, uint64(1))
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -21,8 +21,11 @@
 	// attemptTimeout is how long one attempt waits for its answer before
 	// another member is asked.
 	attemptTimeout = 1500 * time.Millisecond
-	backoffFirst   = 10 * time.Millisecond
-	backoffMost    = 500 * time.Millisecond
+	// attemptLeast is the time left below which no further attempt is made: cut
+	// short, it would only turn "not run" into an unknown outcome.
+	attemptLeast = 50 * time.Millisecond
+	backoffFirst = 10 * time.Millisecond
+	backoffMost  = 500 * time.Millisecond
 )
 
 // Options are the settings of a Client.
@@ -161,7 +164,11 @@
 // backoff waits before the next attempt; false when the budget has ended.
 func (c *Client) backoff(ctx context.Context, a *attempts) bool {
 	most := min(backoffFirst<<min(a.count, 10), backoffMost)
-	timer := time.NewTimer(most/2 + time.Duration(rand.Int64N(int64(most/2))))
+	wait := most/2 + rand.N(most/2)
+	if end, ok := ctx.Deadline(); ok && time.Until(end) < wait+attemptLeast {
+		return false
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
