Certificates for tests in a package of their own

Cause: the scripts need keys too, not only the tests of keys. Change: keystest issues them; the tests use the public interface and fake time.

--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -1,108 +1,84 @@
-package keys
+package keys_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
-)
 
-// authority signs certificates in tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
+	"endivewing/internal/keys"
+	"endivewing/internal/keys/keystest"
+)
 
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func newAuthority(t *testing.T) *keystest.Authority {
+	a, err := keystest.NewAuthority()
 	assert.NilError(t, err)
-	a := &authority{key: key, cert: &x509.Certificate{
-		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}}
 	return a
 }
 
-// issue writes a certificate, its key and the authority's certificate.
-func (a *authority) issue(t *testing.T, dir string) Files {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	leaf := &x509.Certificate{SerialNumber: big.NewInt(2), NotBefore: a.cert.NotBefore, NotAfter: a.cert.NotAfter}
-	signed, err := x509.CreateCertificate(rand.Reader, leaf, a.cert, &key.PublicKey, a.key)
-	assert.NilError(t, err)
-	root, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
+func issue(t *testing.T, a *keystest.Authority, dir string) keys.Files {
+	files, err := a.Issue(dir)
 	assert.NilError(t, err)
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(t, err)
-	files := Files{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
-	writePEM(t, files.Cert, "CERTIFICATE", signed)
-	writePEM(t, files.Key, "PRIVATE KEY", private)
-	writePEM(t, files.CA, "CERTIFICATE", root)
 	return files
 }
 
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+func open(t *testing.T, files keys.Files) *tls.Config {
+	k, err := keys.Open(files)
+	assert.NilError(t, err)
+	return k.Config()
 }
 
 // handshake returns the errors of the client and the server.
-func handshake(client, server *tls.Config) (error, error) {
+func handshake(client, server *tls.Config) (clientErr, serverErr error) {
 	a, b := net.Pipe()
 	answer := make(chan error, 1)
 	go func() {
-		s := tls.Server(b, server)
-		err := s.Handshake()
+		err := tls.Server(b, server).Handshake()
 		_ = b.Close()
 		answer <- err
 	}()
-	err := tls.Client(a, client).Handshake()
+	clientErr = tls.Client(a, client).Handshake()
 	_ = a.Close()
-	return err, <-answer
-}
-
-func open(t *testing.T, files Files) *Keeper {
-	k, err := Open(files)
-	assert.NilError(t, err)
-	return k
+	return clientErr, <-answer
 }
 
 func TestOnlyTrustedPeersTalk(t *testing.T) {
-	ours, theirs := newAuthority(t), newAuthority(t)
-	a := open(t, ours.issue(t, t.TempDir()))
-	b := open(t, ours.issue(t, t.TempDir()))
-	stranger := open(t, theirs.issue(t, t.TempDir()))
-	clientErr, serverErr := handshake(a.Config(), b.Config())
+	ours := newAuthority(t)
+	a := open(t, issue(t, ours, t.TempDir()))
+	b := open(t, issue(t, ours, t.TempDir()))
+	stranger := open(t, issue(t, newAuthority(t), t.TempDir()))
+	clientErr, serverErr := handshake(a, b)
 	assert.NilError(t, clientErr)
 	assert.NilError(t, serverErr)
-	clientErr, _ = handshake(a.Config(), stranger.Config())
-	assert.ErrorIs(t, clientErr, ErrUntrusted)
-	_, serverErr = handshake(stranger.Config(), b.Config())
+	clientErr, _ = handshake(a, stranger)
+	assert.ErrorIs(t, clientErr, keys.ErrUntrusted)
+	_, serverErr = handshake(stranger, b)
 	assert.Assert(t, serverErr != nil)
-	_, serverErr = handshake(&tls.Config{InsecureSkipVerify: true}, b.Config())
+	_, serverErr = handshake(&tls.Config{InsecureSkipVerify: true}, b)
 	assert.Assert(t, serverErr != nil)
 }
 
 func TestKeysAreReadAgain(t *testing.T) {
-	dir := t.TempDir()
-	k := open(t, newAuthority(t).issue(t, dir))
-	before := k.newest().cert
-	newAuthority(t).issue(t, dir)
-	later := time.Now().Add(time.Minute)
-	assert.NilError(t, os.Chtimes(filepath.Join(dir, "cert"), later, later))
-	k.checked = time.Time{}
-	after := k.newest().cert
-	assert.Assert(t, before != after)
-	assert.NilError(t, os.WriteFile(filepath.Join(dir, "cert"), []byte("torn"), 0o600))
-	k.checked = time.Time{}
-	assert.Assert(t, k.newest().cert == after)
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		config := open(t, issue(t, newAuthority(t), dir))
+		shown := func() *tls.Certificate {
+			time.Sleep(2 * time.Second)
+			cert, err := config.GetCertificate(nil)
+			assert.NilError(t, err)
+			return cert
+		}
+		before := shown()
+		files := issue(t, newAuthority(t), dir)
+		later := time.Now().Add(time.Minute)
+		assert.NilError(t, os.Chtimes(files.Cert, later, later))
+		after := shown()
+		assert.Assert(t, before != after)
+		assert.NilError(t, os.WriteFile(files.Cert, []byte("torn"), 0o600))
+		assert.Assert(t, shown() == after)
+	})
 }
