Entry: stopping answers those who wait; refusals without a lease; write deadlines

A stopping entry ended the requests of callers that waited for another entry's job by cutting them; they are now answered with the open job. Without a valid lease, or with 4096 accepts in flight, submissions are refused before control is asked. Answers must be read within a minute.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -93,8 +93,8 @@
 		a.replies = append(a.replies, s.reply)
 		return
 	}
-	if l.owner == nil || l.refusing {
-		s.reply <- submitReply{kind: submitStopping}
+	if reply, refused := l.refuses(); refused {
+		s.reply <- reply
 		return
 	}
 	info := jobInfo(0, s.spec, l.now, l.deadline(s.spec, l.now))
@@ -106,6 +106,25 @@
 	l.startAccept(key, s)
 }
 
+// maxAccepts bounds the accept requests whose outcome is not known.
+const maxAccepts = 4096
+
+// refuses tells whether no job at all is taken now.
+func (l *loop) refuses() (submitReply, bool) {
+	switch {
+	case l.owner == nil || l.refusing:
+		return submitReply{kind: submitStopping}, true
+	case !l.leaseValid(l.now):
+		return submitReply{kind: submitNotRun}, true
+	case len(l.accepts) >= maxAccepts:
+		full := placement.Refusal{
+			Code: placement.RefusedQueueFull, Detail: "too many submissions wait for control", RetryAfter: unavailableRetry,
+		}
+		return submitReply{kind: submitRefused, refusal: full}, true
+	}
+	return submitReply{}, false
+}
+
 func knownReply(h *heldJob, digest []byte) submitReply {
 	if !bytes.Equal(h.record.Digest, digest) {
 		return submitReply{kind: submitConflict}
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -34,16 +34,25 @@
 	stop       func()
 }
 
-func newWaiting(ctx context.Context, wait time.Duration) waiting {
+// newWaiting gives a request its time. A stopping entry ends all waits, so that
+// requests are answered rather than cut.
+func (p *Process) newWaiting(ctx context.Context, wait time.Duration) waiting {
 	read, stopRead := context.WithTimeout(ctx, wait+readTime)
 	waits, stopWait := context.WithTimeout(ctx, wait)
-	return waiting{wait: waits, read: read, stop: func() { stopWait(); stopRead() }}
+	forget := context.AfterFunc(p.waits, stopWait)
+	p.inFlight.Add(1)
+	return waiting{wait: waits, read: read, stop: func() {
+		p.inFlight.Add(-1)
+		forget()
+		stopWait()
+		stopRead()
+	}}
 }
 
 // Submit accepts a submission and waits for its answer. When the wait ends
 // first, the job is returned as it is; the error says what is known.
 func (p *Process) Submit(ctx context.Context, s *apijob.Submission, wait time.Duration) (*apijob.Job, error) {
-	w := newWaiting(ctx, wait)
+	w := p.newWaiting(ctx, wait)
 	defer w.stop()
 	spec := specOf(s)
 	digest := digestOf(spec)
@@ -150,7 +159,7 @@
 
 // Job returns a job, waiting for its end.
 func (p *Process) Job(ctx context.Context, id uint64, wait time.Duration) (*apijob.Job, error) {
-	w := newWaiting(ctx, wait)
+	w := p.newWaiting(ctx, wait)
 	defer w.stop()
 	h, err := ask(p.loop, func(reply chan<- *heldJob) action { return lookup{job: id, reply: reply} })
 	if err == nil && h != nil {
@@ -161,7 +170,7 @@
 
 // JobBySubmission is Job by team and submission ID.
 func (p *Process) JobBySubmission(ctx context.Context, team, submission string, wait time.Duration) (*apijob.Job, error) {
-	w := newWaiting(ctx, wait)
+	w := p.newWaiting(ctx, wait)
 	defer w.stop()
 	key := submissionKey{team: team, submission: submission}
 	h, err := ask(p.loop, func(reply chan<- *heldJob) action { return lookupSubmission{key: key, reply: reply} })
@@ -174,7 +183,7 @@
 // Cancel cancels a job, here or at its owner, and waits for its end. A job that
 // ended before stays as it is.
 func (p *Process) Cancel(ctx context.Context, id uint64, wait time.Duration, forwarded bool) (*apijob.Job, error) {
-	w := newWaiting(ctx, wait)
+	w := p.newWaiting(ctx, wait)
 	defer w.stop()
 	h, err := ask(p.loop, func(reply chan<- *heldJob) action { return cancel{job: id, reply: reply} })
 	if err == nil && h != nil {
@@ -243,31 +252,37 @@
 
 // followQuery reads a job from control until it has ended or the wait is over.
 func (p *Process) followQuery(w waiting, q *wirepb.GetJobRequest) (*apijob.Job, error) {
-	var last *wirepb.JobRecord
-	for attempt := 0; ; attempt++ {
+	for attempt := 0; w.wait.Err() == nil; attempt++ {
 		q.WaitMs = holdMs(w.wait)
-		found, err := p.control.GetJob(w.read, q)
+		if q.WaitMs == 0 {
+			break
+		}
+		found, err := p.control.GetJob(w.wait, q)
 		switch {
-		case err == nil && !found.Found:
+		case err != nil:
+			pause(w.wait, attempt)
+		case !found.Found:
 			return nil, notFound("no such job")
-		case err == nil && ended(found.Job):
+		case ended(found.Job):
 			return jobOf(found.Job), nil
-		case err == nil:
-			last = found.Job
+		default:
 			attempt = 0
 		}
-		if w.wait.Err() != nil || q.WaitMs == 0 {
-			return lastSeen(last, err)
-		}
-		pause(w.wait, attempt)
 	}
+	return p.readJob(w, q)
 }
 
-func lastSeen(last *wirepb.JobRecord, err error) (*apijob.Job, error) {
-	if last != nil {
-		return jobOf(last), nil
+// readJob reads a job from control as it is now.
+func (p *Process) readJob(w waiting, q *wirepb.GetJobRequest) (*apijob.Job, error) {
+	q.WaitMs = 0
+	found, err := p.control.GetJob(w.read, q)
+	switch {
+	case err != nil:
+		return nil, readError(err)
+	case !found.Found:
+		return nil, notFound("no such job")
 	}
-	return nil, readError(err)
+	return jobOf(found.Job), nil
 }
 
 // holdMs is how long control may hold a request so that it is back before the
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	wirepb "endivewing/api/endivewing/v1"
 	apijob "endivewing/api/job"
+	"endivewing/api/resource"
 	"endivewing/internal/controlclient"
 )
 
@@ -49,11 +51,7 @@
 	s := submission("s1", 20)
 	var j, after apijob.Job
 	assert.Equal(t, call(t, first, http.MethodPost, "/v1/jobs?wait=0s", s, &j), http.StatusAccepted)
-	until(t, "slots are used", func() bool {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		return len(a.started) == 8
-	})
+	until(t, "slots are used", func() bool { return a.startedTasks() == 8 })
 	a.mu.Lock()
 	a.run = echoTask
 	a.mu.Unlock()
@@ -133,15 +131,12 @@
 	s := submission("s1", 4)
 	answered := make(chan *apijob.Job, 1)
 	go func() {
+		defer close(answered)
 		var j apijob.Job
 		call(t, p, http.MethodPost, "/v1/jobs", s, &j)
 		answered <- &j
 	}()
-	until(t, "tasks are started", func() bool {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		return len(a.started) == 4
-	})
+	until(t, "tasks are started", func() bool { return a.startedTasks() == 4 })
 	incarnation := p.follower.Incarnation()
 	stopped := make(chan struct{})
 	go func() {
@@ -161,3 +156,88 @@
 		return i == nil || i.Ended && i.Clean
 	})
 }
+
+func TestLostSessionIsResolvedByAQuery(t *testing.T) {
+	control := newControl()
+	a := startAgent(t, control, "a", holdTask)
+	p := startEntry(t, control, "e1")
+	connected(t, p, 1)
+	s := submission("s1", 4)
+	var j apijob.Job
+	assert.Equal(t, call(t, p, http.MethodPost, "/v1/jobs?wait=0s", s, &j), http.StatusAccepted)
+	until(t, "tasks are started", func() bool { return a.startedTasks() == 4 })
+	a.mu.Lock()
+	a.session.Close()
+	a.mu.Unlock()
+	assert.Equal(t, call(t, p, http.MethodGet, "/v1/jobs/"+j.ID+"?wait=20s", nil, &j), http.StatusOK)
+	wantWhole(t, &j, s)
+	assert.Equal(t, a.startedTwice(), 0)
+}
+
+func TestLostAgentFailsTheJobAndNothingStartsAgain(t *testing.T) {
+	control := newControl()
+	lost := startAgent(t, control, "a", holdTask)
+	p := startEntry(t, control, "e1")
+	connected(t, p, 1)
+	var j apijob.Job
+	assert.Equal(t, call(t, p, http.MethodPost, "/v1/jobs?wait=0s", submission("s1", 12), &j), http.StatusAccepted)
+	until(t, "slots are used", func() bool { return lost.startedTasks() == 8 })
+	lost.stop()
+	control.End(lost.follower.Incarnation())
+	assert.Equal(t, call(t, p, http.MethodGet, "/v1/jobs/"+j.ID+"?wait=20s", nil, &j), http.StatusOK)
+	assert.Equal(t, j.State, apijob.Failed)
+	assert.Equal(t, j.Failure.Reason, apijob.ReasonAgentLost)
+	assert.Equal(t, j.Failure.NotRun, false)
+	next := startAgent(t, control, "b", echoTask)
+	connected(t, p, 1)
+	s := submission("s2", 3)
+	assert.Equal(t, call(t, p, http.MethodPost, "/v1/jobs", s, &j), http.StatusOK)
+	wantWhole(t, &j, s)
+	assert.Equal(t, next.startedTasks(), 3)
+}
+
+func TestStopAnswersThoseWhoWaitForOtherEntries(t *testing.T) {
+	control := newControl()
+	startAgent(t, control, "a", holdTask)
+	first, second := startEntry(t, control, "e1"), startEntry(t, control, "e2")
+	connected(t, first, 1)
+	connected(t, second, 1)
+	var j apijob.Job
+	assert.Equal(t, call(t, first, http.MethodPost, "/v1/jobs?wait=0s", submission("s1", 2), &j), http.StatusAccepted)
+	status := make(chan int, 1)
+	go func() {
+		defer close(status)
+		var waiting apijob.Job
+		status <- call(t, second, http.MethodGet, "/v1/jobs/"+j.ID+"?wait=10m", nil, &waiting)
+	}()
+	until(t, "the caller waits", func() bool { return second.inFlight.Load() == 1 })
+	stopEntry(second)
+	assert.Equal(t, <-status, http.StatusAccepted)
+}
+
+func TestResourcesAreChangedByCompareAndSetAndWatched(t *testing.T) {
+	control := newControl()
+	p := startEntry(t, control, "e1")
+	until(t, "ready", func() bool { return p.Ready() == nil })
+	var created, again resource.Object
+	body := &resource.Object{Spec: json.RawMessage(`{"weight":3}`)}
+	assert.Equal(t, call(t, p, http.MethodPut, "/v1/teams/proofs", body, &created), http.StatusOK)
+
+	var e apijob.Error
+	assert.Equal(t, call(t, p, http.MethodPut, "/v1/teams/proofs", body, &e), http.StatusConflict)
+	assert.Equal(t, e.ResourceVersion, created.Metadata.ResourceVersion)
+	body.Metadata.ResourceVersion = created.Metadata.ResourceVersion
+	body.Spec = json.RawMessage(`{"weight":4}`)
+	assert.Equal(t, call(t, p, http.MethodPut, "/v1/teams/proofs", body, &again), http.StatusOK)
+
+	var list resource.List
+	watch := "/v1/teams?wait=20s&watch=" + created.Metadata.ResourceVersion
+	assert.Equal(t, call(t, p, http.MethodGet, watch, nil, &list), http.StatusOK)
+	assert.Equal(t, len(list.Items), 1)
+	assert.Equal(t, list.Items[0].Metadata.ResourceVersion, again.Metadata.ResourceVersion)
+	assert.Equal(t, call(t, p, http.MethodDelete, "/v1/teams/proofs?resourceVersion="+created.Metadata.ResourceVersion, nil, &e), http.StatusConflict)
+	assert.Equal(t, call(t, p, http.MethodDelete, "/v1/teams/proofs?resourceVersion="+again.Metadata.ResourceVersion, nil, nil), http.StatusOK)
+	watch = "/v1/teams?wait=20s&watch=" + list.ResourceVersion
+	assert.Equal(t, call(t, p, http.MethodGet, watch, nil, &list), http.StatusOK)
+	assert.Equal(t, len(list.Items), 0)
+}
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -142,9 +142,31 @@
 		}
 	case *wirepb.Envelope_QueryTasks:
 		a.kinds["query"]++
+		a.query(s, body.QueryTasks)
 	}
 }
 
+// query reports what was seen as done, and the rest as not run.
+func (a *fakeAgent) query(s *wire.Session, q *wirepb.QueryTasks) {
+	r := &wirepb.QueryReport{Group: q.Group, Epoch: q.Epoch}
+	for _, ref := range q.Tasks {
+		m, outcome := a.held[[2]uint64{ref.Job, uint64(ref.Task)}], wirepb.TaskOutcome_TASK_OUTCOME_DONE
+		if m == nil {
+			m = &wirepb.StartTask{Job: ref.Job, Task: ref.Task, Group: q.Group, Epoch: q.Epoch, Attempt: ref.Attempt}
+			outcome = wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN
+		}
+		r.Tasks = append(r.Tasks, taskUpdate(m, outcome))
+	}
+	_ = s.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_QueryReport{QueryReport: r}})
+}
+
+// startedTasks is the number of tasks that the agent was sent.
+func (a *fakeAgent) startedTasks() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.started)
+}
+
 // claim reports every task seen as done.
 func (a *fakeAgent) claim(s *wire.Session, c *wirepb.ClaimGroup) {
 	r := &wirepb.ClaimReport{Group: c.Group, Epoch: c.Epoch}
--- a/internal/entry/httpapi/api.go
+++ b/internal/entry/httpapi/api.go
@@ -77,7 +77,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = a.fail
-	e.Use(a.recovered, a.limitBody)
+	e.Use(a.recovered, a.limitBody, limitWrite)
 	a.callerRoutes(e)
 	a.operatorRoutes(e)
 	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusNoContent) })
--- a/internal/entry/httpapi/errors.go
+++ b/internal/entry/httpapi/errors.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -86,6 +87,20 @@
 	}
 }
 
+// writeTime bounds how long an answer may take to be written. A caller may
+// wait long for an answer, but must then read it.
+const writeTime = time.Minute
+
+func limitWrite(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			// A writer without deadlines, as in tests, has no slow reader.
+			_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Now().Add(writeTime))
+		})
+		return next(c)
+	}
+}
+
 // recovered turns a panic of a handler into an internal error.
 func (a *api) recovered(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) (err error) {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -43,6 +43,8 @@
 	// ctx ends when the process stops; goroutines started by the loop use it.
 	ctx context.Context
 	now time.Time
+	// leaseValid tells whether control may still count on this entry.
+	leaseValid func(now time.Time) bool
 
 	incarnation uint64
 	// term counts registrations: what an earlier one started is dropped.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -29,6 +29,11 @@
 	// incarnation is what sessions say in their hello.
 	incarnation atomic.Uint64
 	stopping    atomic.Bool
+	// inFlight counts the requests that ask for a job.
+	inFlight atomic.Int64
+	// waits ends when callers are no longer kept waiting.
+	waits       context.Context
+	endWaits    context.CancelFunc
 	cancel      context.CancelFunc
 	closeClient func()
 	done        chan struct{}
@@ -55,11 +60,13 @@
 		closeClient: func() {},
 		done:        make(chan struct{}),
 	}
+	p.waits, p.endWaits = context.WithCancel(ctx)
 	p.connect()
 	p.loop = newLoop(ctx, opts, p.control)
 	p.loop.dialer = newDialer(p.loop, opts, &p.incarnation)
-	go p.loop.run()
 	p.follow(ctx)
+	p.loop.leaseValid = p.follower.LeaseValid
+	go p.loop.run()
 	p.serve()
 	return p, nil
 }
@@ -178,8 +185,9 @@
 	}
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopReserve)
 	defer cancel()
-	// Callers of jobs that are left follow them at the next owner until the
-	// server has to close.
+	// Callers of jobs that other entries own, or will own, are answered with
+	// the open job and ask again elsewhere.
+	p.endWaits()
 	err := p.shutdown(ctx, leaving, clean)
 	p.cancel()
 	<-p.loop.done
--- a/internal/entry/resources.go
+++ b/internal/entry/resources.go
@@ -18,6 +18,9 @@
 func (p *Process) List(ctx context.Context, kind resource.Kind, after *uint64) *resource.List {
 	s := p.views.get()
 	if after != nil {
+		ctx, stop := context.WithCancel(ctx)
+		defer stop()
+		defer context.AfterFunc(p.waits, stop)()
 		s = p.views.after(ctx, kind, *after)
 	}
 	list := &resource.List{ResourceVersion: resource.FormatVersion(s.view.Revision), Items: []resource.Object{}}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -16,6 +16,7 @@
 	NotReady    string            `json:"notReady,omitempty"`
 	Refusing    bool              `json:"refusing"`
 	Accepts     int               `json:"acceptsInFlight"`
+	Requests    int64             `json:"requestsInFlight"`
 	Sessions    int               `json:"agentSessions"`
 	Owner       *owner.Status     `json:"owner,omitempty"`
 	Placement   *placement.Status `json:"placement,omitempty"`
@@ -45,6 +46,7 @@
 		return &Status{Name: p.opts.Name, NotReady: err.Error()}
 	}
 	s.HTTPAddress = p.HTTPAddress()
+	s.Requests = p.inFlight.Load()
 	if err := p.Ready(); err != nil {
 		s.NotReady = err.Error()
 	} else {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -156,3 +156,47 @@
 		w.t.Fatalf("%d jobs are kept for ever: %+v", held, w.current.Status())
 	}
 }
+
+// TestWaveOfCancelsIsOneMessagePerAgent cancels many jobs at once.
+func TestWaveOfCancelsIsOneMessagePerAgent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		o := w.current
+		for w.learn(o) {
+		}
+		agents := w.liveAgents()
+		jobs := rapid.IntRange(1, 40).Draw(t, "jobs")
+		for range jobs {
+			w.accept(o, 3, time.Hour)
+			w.page(o, 0)
+		}
+		for _, a := range agents {
+			w.connect(o, a)
+		}
+		for range jobs * 2 {
+			w.assign(o, 0, agents[0])
+			w.assign(o, 0, agents[1])
+		}
+		for n := range w.jobs {
+			o.Cancel(n, w.now)
+		}
+		o.Flush()
+		for _, a := range agents {
+			cancels := 0
+			for _, e := range w.links[o][a.incarnation].toAgent {
+				if e.GetCancelTasks() != nil {
+					cancels++
+				}
+			}
+			if cancels > 1 {
+				t.Fatalf("%d cancel messages to one agent", cancels)
+			}
+		}
+		w.quiesce()
+		for n := range w.jobs {
+			if d := w.durable[n]; d == nil || !d.NotRun || d.Reason != ReasonCancelled {
+				t.Fatalf("job %d: %v", n, d)
+			}
+		}
+	})
+}
