Owner: the test of a wave of cancels hands over all messages first

The expectation stays; the messages come first. Planted: cancels sent one by one, seen by the count of messages.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -192,7 +192,13 @@
 				t.Fatalf("%d cancel messages to one agent", cancels)
 			}
 		}
-		w.quiesce()
+		// The agents get all of it before any task of theirs starts.
+		w.traffic(o, 1000, func(int) bool { return false })
+		w.traffic(o, 1000, func(int) bool { return false })
+		o.Flush()
+		for len(o.records) > 0 {
+			w.commit(o)
+		}
 		for n := range w.jobs {
 			if d := w.durable[n]; d == nil || !d.NotRun || d.Reason != ReasonCancelled {
 				t.Fatalf("job %d: %v", n, d)
