Refused jobs come back in turn; shared agents aren't crowded by many entries

In a return burst each refused job came back seven times (4443 resubmissions of 642 jobs), since all were told the same short time.

An agent returns by the sum of three probes' runs.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -30,6 +30,12 @@
 
 const (
 	minRetry = 500 * time.Millisecond
+	maxRetry = time.Minute
+	// retryOverbook is how much faster refused jobs come back than the entry
+	// serves tasks.
+	retryOverbook = 2
+	// retrySpread: advised times are longer at random by up to this part.
+	retrySpread = 8
 	// pendingTime is how long an admitted job is expected to be added.
 	pendingTime = 3 * time.Second
 )
@@ -84,7 +90,7 @@
 	ahead := seconds(float64(t.waiting+t.pending) / rate)
 	if over := ahead - d.cfg.MaxWait; over > 0 {
 		detail := fmt.Sprintf("estimated wait of %s is over the bound", ahead.Round(time.Millisecond))
-		return Refusal{Code: RefusedTooLate, Detail: detail, RetryAfter: d.retryAfter(over)}, false
+		return Refusal{Code: RefusedTooLate, Detail: detail, RetryAfter: d.retryInTurn(t, over, float64(info.Tasks)/d.serviceRate(info), now)}, false
 	}
 	if info.Deadline.IsZero() || ahead == 0 {
 		return Refusal{}, true
@@ -99,16 +105,20 @@
 
 // teamRate is how many tasks a second the team can count on, 0 when unknown.
 func (d *Dispatcher) teamRate(info *JobInfo, t *team) float64 {
-	s := d.services[info.Service]
-	rate := s.drain.perSecond
-	if rate == 0 {
-		rate = float64(s.slots) / s.runs.estimate(info.declaredPerTask()) / float64(d.entries)
-	}
 	weights := d.activeWeight()
 	if t.waiting == 0 {
 		weights += t.weight()
 	}
-	return rate * t.weight() / weights
+	return d.serviceRate(info) * t.weight() / weights
+}
+
+// serviceRate is how many tasks of the service end a second while any wait.
+func (d *Dispatcher) serviceRate(info *JobInfo) float64 {
+	s := d.services[info.Service]
+	if s.drain.perSecond > 0 {
+		return s.drain.perSecond
+	}
+	return float64(s.slots) / s.runs.estimate(info.declaredPerTask()) / float64(d.entries)
 }
 
 func (d *Dispatcher) checkQuota(info *JobInfo, t *team, now time.Time) (Refusal, bool) {
@@ -127,6 +137,22 @@
 	return needed + time.Duration(d.rand.Int64N(int64(needed)))
 }
 
+// retryInTurn gives refused jobs turns one after the other, so that they come
+// back not much faster than they can be served. Some never do, and some are
+// refused again and get a second turn: hence the overbooking.
+func (d *Dispatcher) retryInTurn(t *team, over time.Duration, takes float64, now time.Time) time.Duration {
+	first := now.Add(over)
+	if t.horizon.Before(first) {
+		t.horizon = first
+	}
+	t.horizon = t.horizon.Add(seconds(takes / retryOverbook))
+	if last := now.Add(maxRetry); t.horizon.After(last) {
+		t.horizon = last
+	}
+	wait := max(t.horizon.Sub(now), minRetry)
+	return wait + time.Duration(d.rand.Int64N(int64(wait)/retrySpread))
+}
+
 func (d *Dispatcher) dropStalePending(t *team, now time.Time) {
 	if t.pending > 0 && now.Sub(t.pendingAt) > pendingTime {
 		t.pending = 0
--- a/internal/placement/agents.go
+++ b/internal/placement/agents.go
@@ -137,7 +137,7 @@
 // countSlots sums the slots and members of each pool and each service.
 func (d *Dispatcher) countSlots() {
 	for _, p := range d.pools {
-		p.known, p.members, p.slots = 0, 0, 0
+		p.known, p.members, p.slots, p.entries = 0, 0, 0, d.entries
 	}
 	for _, a := range d.list {
 		a.pool.known++
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -29,8 +29,8 @@
 	// counting slowPrior more than it did.
 	slowFactor = 3.0
 	slowPrior  = 8.0
-	// goodProbes is the number of good probes in a row before it returns, and
-	// goodRun the longest run of a good one, relative to its peers.
+	// goodProbes is the number of probes that must be done before it returns,
+	// and goodRun how long they may run on average, relative to its peers.
 	goodProbes = 3
 	goodRun    = 2.5
 
@@ -59,10 +59,11 @@
 	streakSince time.Duration
 	probeAt     time.Time
 	pause       time.Duration
-	due         bool // a probe may be sent
-	good        int  // good probes in a row
-	allowed     int  // tasks at once while returning
-	successes   int  // at this number
+	due         bool    // a probe may be sent
+	good        int     // probes done since the last bad one
+	goodRuns    float64 // sum of their runs relative to the expected ones
+	allowed     int     // tasks at once while returning
+	successes   int     // at this number
 	history
 }
 
@@ -148,7 +149,8 @@
 	}
 	switch a.health.state {
 	case trickling:
-		d.judgeProbe(a, run.Seconds() <= goodRun*expected, now)
+		a.health.goodRuns += run.Seconds() / expected
+		d.judgeProbe(a, a.health.goodRuns <= goodRun*goodProbes, now)
 	case returning:
 		a.grow(d)
 	}
@@ -175,11 +177,12 @@
 	}
 }
 
-// judgeProbe counts good probes in a row; a bad one makes the pause longer.
+// judgeProbe counts good probes; a failed one, or too long runs of several,
+// makes the pause longer.
 func (d *Dispatcher) judgeProbe(a *agent, good bool, now time.Time) {
 	h := &a.health
 	if !good {
-		h.good = 0
+		h.good, h.goodRuns = 0, 0
 		h.pause = min(2*h.pause, maxPause)
 		d.probeAfter(a, h.pause, now)
 		return
@@ -231,7 +234,7 @@
 	a.move(evEject)
 	a.pool.ejected++
 	h := &a.health
-	h.good = 0
+	h.good, h.goodRuns = 0, 0
 	h.pause = min(max(pause, 2*h.pause), maxPause)
 	d.probeAfter(a, h.pause, now)
 	d.recallFrom(a)
--- a/internal/placement/learn.go
+++ b/internal/placement/learn.go
@@ -10,6 +10,9 @@
 	// rateWindow is how long a backlog must last for a sample of the rate.
 	rateWindow = 500 * time.Millisecond
 	rateWeight = 0.3
+	// maxTravel bounds the time of travel that is made up for: what is longer
+	// is a queue at the agents and not the network.
+	maxTravel = 10 * time.Millisecond
 )
 
 // average is the mean of all values, and of the last ones when there are many.
@@ -112,7 +115,7 @@
 	p.run.add(run)
 	p.round++
 	if p.round >= historyTasks {
-		p.travel = p.least
+		p.travel = min(p.least, maxTravel.Seconds())
 		p.round = 0
 	}
 }
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -41,12 +41,30 @@
 
 func pickAny(p *pool, r *rand.Rand) *agent { return p.ready[r.IntN(len(p.ready))] }
 
-// pipelined is the number of slots and what travels meanwhile.
+const (
+	// crowdFactor is how many tasks per slot all entries together may keep at
+	// an agent, those that run included.
+	crowdFactor = 3
+	// crowdTasks is the number of tasks that each entry may have out anyway, so
+	// that a few large jobs can use an idle fleet.
+	crowdTasks = 1600
+)
+
+// pipelined is the number of slots and what travels meanwhile, or this entry's
+// part when many entries share the agent.
 func (a *agent) pipelined() int {
 	slots := int(a.info.Slots)
-	return slots + a.pool.pipeline.extra(slots)
+	return min(slots+a.pool.pipeline.extra(slots), a.pool.crowdLimit(slots))
+}
+
+func (p *pool) crowdLimit(slots int) int {
+	share := ceilDiv(crowdFactor*slots, max(p.entries, 1))
+	anyway := ceilDiv(crowdTasks, max(p.members, 1))
+	return max(share, anyway, 1)
 }
 
+func ceilDiv(n, by int) int { return (n + by - 1) / by }
+
 type randomPolicy struct{}
 
 func (randomPolicy) limit(a *agent) int                { return earlyWindow * int(a.info.Slots) }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -20,6 +20,7 @@
 	known     int     // agents
 	members   int     // agents that take work
 	slots     int     // of the members
+	entries   int     // that share the agents
 	ejected   int     // agents that get probes only
 	failures  float64 // recent share of failed tasks
 	stays     history // of the tasks at all agents
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -11,7 +11,10 @@
 	pendingAt time.Time
 	tokens    float64 // tasks that may be admitted now; below 0 is a debt
 	filledAt  time.Time
-	counted   uint64 // last round of activeWeight
+	// horizon is until when the refused jobs were told to stay away, one after
+	// the other at the team's rate.
+	horizon time.Time
+	counted uint64 // last round of activeWeight
 }
 
 func (t *team) weight() float64 {
@@ -28,7 +31,7 @@
 }
 
 // share is this entry's part of a quota of the whole fleet, rounded up.
-func (d *Dispatcher) share(quota int) int { return (quota + d.entries - 1) / d.entries }
+func (d *Dispatcher) share(quota int) int { return ceilDiv(quota, d.entries) }
 
 // untilTokens fills the team's bucket and returns how long it stays empty. A
 // job is admitted when there is any token and may leave a debt, so that jobs
@@ -73,7 +76,12 @@
 
 // SetEntries tells how many entries share the load. Quotas are for all of
 // them; each keeps to its part.
-func (d *Dispatcher) SetEntries(n int) { d.entries = max(n, 1) }
+func (d *Dispatcher) SetEntries(n int) {
+	d.entries = max(n, 1)
+	for _, p := range d.pools {
+		p.entries = d.entries
+	}
+}
 
 // nextQueue returns the queue to serve next, or nil when no waiting task can
 // be placed. Teams below their share come first, by the key of their most
