--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -14,8 +14,8 @@
 	"endivewing/internal/standin"
 )
 
-// load is a set of callers that submit jobs while a script goes on.
-type load struct {
+// callerLoad is a set of callers that submit jobs while a script goes on.
+type callerLoad struct {
 	jobs    int
 	tasks   int // tasks of each job, at most; at least one
 	sleepMS int // longest run time of a task
@@ -42,7 +42,7 @@
 const triesOfACaller = 40
 
 // run submits all jobs and waits until each caller has its last word.
-func (l load) run(name string, entries []*apiclient.Client) []*caller {
+func (l callerLoad) run(name string, entries []*apiclient.Client) []*caller {
 	random := rand.New(rand.NewPCG(l.seed, 1))
 	callers := make([]*caller, l.jobs)
 	var wg sync.WaitGroup
@@ -62,7 +62,7 @@
 	return callers
 }
 
-func (l load) submission(random *rand.Rand, id string) *job.Submission {
+func (l callerLoad) submission(random *rand.Rand, id string) *job.Submission {
 	s := &job.Submission{SubmissionID: id, Team: "school", Service: "default", TimeoutMs: 60000}
 	for t := range 1 + random.IntN(l.tasks) {
 		p := standin.Payload{
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -25,6 +25,13 @@
 // fleet is a whole deployment of separate processes with relays between them.
 type fleet struct {
 	dir string
+	// direct leaves the relays in front of entries, agents and minions out, for
+	// measurements.
+	direct bool
+	// entryLines are added to the settings of each entry.
+	entryLines string
+	// minionFlags are added to the command lines of minions, by number.
+	minionFlags map[int][]string
 
 	mu      sync.Mutex
 	nodes   map[string]*process
@@ -138,6 +145,7 @@
 	name := fmt.Sprintf("minion-%d", i)
 	record := filepath.Join(f.dir, name+".record")
 	p := &process{name: name, dir: f.dir, args: []string{"minion", "--record", record, "--slots", fmt.Sprint(slots)}}
+	p.args = append(p.args, f.minionFlags[i]...)
 	f.nodes[name] = p
 	f.minions = append(f.minions, record)
 	return f.start(name)
--- a/scenarios/random_test.go
+++ b/scenarios/random_test.go
@@ -106,7 +106,7 @@
 	}
 	schedule := drawSchedule(seed, processes, *randomSteps)
 	answered := make(chan []*caller, 1)
-	l := load{jobs: 30 * *randomSteps, tasks: 5, sleepMS: 60, every: 70 * time.Millisecond, seed: seed}
+	l := callerLoad{jobs: 30 * *randomSteps, tasks: 5, sleepMS: 60, every: 70 * time.Millisecond, seed: seed}
 	go func() { answered <- l.run(fmt.Sprint("seed-", seed), f.entries()) }()
 	runSchedule(t, f, schedule)
 	callers := <-answered
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -124,7 +124,7 @@
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
 	s := stageOf(ts)
 	n := numbers(ts, args[1:], map[string]int{"jobs": 40, "tasks": 6, "sleep_ms": 40, "every_ms": 10, "fail": 0, "cancel": 0, "seed": 1})
-	l := load{
+	l := callerLoad{
 		jobs:    n["jobs"],
 		tasks:   n["tasks"],
 		sleepMS: n["sleep_ms"],
--- a/scenarios/settings_test.go
+++ b/scenarios/settings_test.go
@@ -47,23 +47,32 @@
 %s`, m.id, m.name+".data", join, peers.String())
 }
 
+// reach is the address by which others reach a port of a process; empty in a
+// direct fleet, where each listener tells its own.
+func (f *fleet) reach(from, to, role string) string {
+	if f.direct {
+		return f.serving[linkKey{anyone, to, role}]
+	}
+	return f.link(from, to, role).address()
+}
+
 func (f *fleet) agentSettings(i, slots int) string {
 	name := fmt.Sprintf("agent-%d", i)
-	minion := f.link(name, fmt.Sprintf("minion-%d", i), "minion")
+	minion := f.reach(name, fmt.Sprintf("minion-%d", i), "minion")
 	return f.commonSettings(name, "agent", zoneOf(i)) + f.controlAddresses(name) + fmt.Sprintf(`agent:
   listen: 127.0.0.1:0
-  advertise: %s
+  advertise: %q
   minion: http://%s
   services: [default]
   slots: %d
-`, f.link(anyone, name, "agent").address(), minion.address(), slots)
+`, f.reach(anyone, name, "agent"), minion, slots)
 }
 
 func (f *fleet) entrySettings(i int) string {
 	name := fmt.Sprintf("entry-%d", i)
 	return f.commonSettings(name, "entry", zoneOf(i)) + f.controlAddresses(name) + fmt.Sprintf(`entry:
   listen: 127.0.0.1:0
-  advertise: %s
+  advertise: %q
   max_wait: 60s
-`, f.link(anyone, name, "entry").address())
+%s`, f.reach(anyone, name, "entry"), f.entryLines)
 }
