Load of the agent is a field of task updates

AgentLoad was a message of its own beside the updates, so it counted as one that moves no task forward. The entry has to hand it to placement: it reads AgentLoad messages so far, and the two-choices policy is without reports until then.

--- a/internal/gate/action.go
+++ b/internal/gate/action.go
@@ -75,8 +75,3 @@
 	d := &wirepb.Draining{Incarnation: incarnation}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Draining{Draining: d}}
 }
-
-func loadEnvelope(l Load) *wirepb.Envelope {
-	m := &wirepb.AgentLoad{Slots: uint32(l.Slots), Running: uint32(l.Running), Queued: uint32(l.Queued)}
-	return &wirepb.Envelope{Body: &wirepb.Envelope_AgentLoad{AgentLoad: m}}
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,9 +33,6 @@
 // Load is how busy the agent is.
 type Load struct{ Slots, Running, Queued int }
 
-// loadInterval is the shortest time between two loads told to one entry.
-const loadInterval = 20 * time.Millisecond
-
 // Gate is the state of one incarnation of an agent. It is not safe for
 // concurrent use.
 type Gate struct {
@@ -154,7 +151,6 @@
 		g.lending.SetCapacity(g.limit())
 	}
 	g.sendGrants(now)
-	g.sendLoads(now)
 	return &g.actions
 }
 
@@ -229,17 +225,3 @@
 	}
 	g.actions.Sends = sends
 }
-
-// sendLoads adds the load to what goes to an entry anyway.
-func (g *Gate) sendLoads(now time.Duration) {
-	load := g.Load()
-	for _, send := range g.actions.Sends {
-		s := g.sessions[send.Session]
-		if s == nil || s.load == load || now < s.loadAt+loadInterval {
-			continue
-		}
-		s.load = load
-		s.loadAt = now
-		g.send(send.Session, loadEnvelope(load))
-	}
-}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -129,7 +129,9 @@
 	b.start(1, 1)
 	b.settle()
 	b.start(2, 1)
-	b.wantUpdate(2, 1, queued, ReasonNone)
+	_, updates := b.settle()
+	assert.Equal(t, updates[0].Outcome, queued)
+	assert.Equal(t, updates[0].Load, uint32(2))
 	b.recall(1, 1)
 	b.wantUpdate(1, 1, started, ReasonNone)
 	// The owner believes in a later placement: its copies must not start either.
--- a/internal/gate/session.go
+++ b/internal/gate/session.go
@@ -6,9 +6,7 @@
 type session struct {
 	id SessionID
 	// entry is the incarnation of the entry.
-	entry  uint64
-	load   Load
-	loadAt time.Duration
+	entry uint64
 }
 
 // SessionUp adds a session with an entry. An older session of the same entry
@@ -68,6 +66,8 @@
 		return
 	}
 	if s := g.owners[j.group.owner]; s != nil {
-		g.send(s.id, updateEnvelope(j.update(r)))
+		u := j.update(r)
+		u.Load = uint32(len(g.running) + g.queue.tasks)
+		g.send(s.id, updateEnvelope(u))
 	}
 }
