Queue of the agent by key; waits are told only when they are long

Tasks of several entries meet in the agent's queue, so it follows the key of the starts. Owners step from queued to an end without STARTED, and a clean leave needs no STARTED either: it waits until every started task is forgotten.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -130,8 +130,15 @@
 	b.settle()
 	b.start(2, 1)
 	_, updates := b.settle()
+	assert.Equal(t, len(updates), 0)
+	assert.Equal(t, b.g.Wake(b.now), tellWaitAfter)
+	b.now = tellWaitAfter
+	_, updates = b.settle()
 	assert.Equal(t, updates[0].Outcome, queued)
 	assert.Equal(t, updates[0].Load, uint32(2))
+	b.now += tellWaitAfter
+	_, updates = b.settle()
+	assert.Equal(t, len(updates), 0)
 	b.recall(1, 1)
 	b.wantUpdate(1, 1, started, ReasonNone)
 	// The owner believes in a later placement: its copies must not start either.
@@ -143,6 +150,22 @@
 	b.wantUpdate(2, 4, notRun, ReasonRecalled)
 }
 
+func TestQueueIsOrderedByKeyAndThenByArrival(t *testing.T) {
+	b := newBench(t, testLimits())
+	var order []uint32
+	for task, key := range []uint64{0, 5, 9, 5, 1} {
+		b.g.StartTask(b.now, testSession, &wirepb.StartTask{
+			Job: 7, Task: uint32(task), Attempt: 1, Group: testEntry, Epoch: 1, Incarnation: 9, Key: key,
+		})
+	}
+	for range 5 {
+		started, _ := b.settle()
+		order = append(order, started...)
+		b.g.Ended(b.now, Ending{Key: Key{7, order[len(order)-1]}, Result: []byte("r")})
+	}
+	assert.DeepEqual(t, order, []uint32{0, 4, 1, 3, 2})
+}
+
 func TestCancelStopsARunningTask(t *testing.T) {
 	b := newBench(t, testLimits())
 	b.start(1, 1)
@@ -162,6 +185,8 @@
 	b.now += 500 * time.Millisecond
 	b.start(2, 1)
 	b.settle()
+	b.now = 750 * time.Millisecond // the wait of task 2 is told
+	b.settle()
 	assert.Equal(t, b.g.Wake(b.now), time.Second)
 	b.now = time.Second
 	assert.DeepEqual(t, b.g.Settle(b.now).Stops, []Key{{7, 1}})
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// taskQueue is the first-come-first-served queue of tasks that wait for a
-// slot, as a list, so that a recalled task leaves at once.
+// taskQueue holds the tasks that wait for a slot, by key and then by arrival,
+// as a list, so that a recalled task leaves at once.
 type taskQueue struct {
 	head, tail *flight
 	tasks      int
@@ -11,14 +11,21 @@
 }
 
 func (q *taskQueue) push(f *flight) {
-	f.queued = true
 	f.prev = q.tail
-	if q.tail == nil {
+	for f.prev != nil && f.prev.request.Key > f.request.Key {
+		f.next = f.prev
+		f.prev = f.prev.prev
+	}
+	if f.prev == nil {
 		q.head = f
 	} else {
-		q.tail.next = f
+		f.prev.next = f
+	}
+	if f.next == nil {
+		q.tail = f
+	} else {
+		f.next.prev = f
 	}
-	q.tail = f
 	q.tasks++
 	q.bytes += f.bytes
 }
@@ -35,7 +42,7 @@
 	} else {
 		f.next.prev = f.prev
 	}
-	f.prev, f.next, f.queued = nil, nil, false
+	f.prev, f.next = nil, nil
 	q.tasks--
 	q.bytes -= f.bytes
 }
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -72,9 +72,14 @@
 	}
 	r.step(eventEnqueue)
 	g.queue.push(f)
-	g.tell(j, r)
+	f.tellAt = now + tellWaitAfter
+	g.timer.add(f.tellAt)
 }
 
+// tellWaitAfter is how long a task waits before its owner is told, so that it
+// can recall the task. Short waits cost no message.
+const tellWaitAfter = 250 * time.Millisecond
+
 // start hands a task to the minion. This is the only place that does.
 func (g *Gate) start(now time.Duration, f *flight, r *record) {
 	if !r.step(eventStart) {
@@ -94,9 +99,7 @@
 	for g.queue.head != nil && len(g.running) < g.limit() {
 		f := g.queue.head
 		g.queue.remove(f)
-		r := f.job.find(f.request.Task)
-		g.start(now, f, r)
-		g.tell(f.job, r)
+		g.start(now, f, f.job.find(f.request.Task))
 	}
 }
 
@@ -135,11 +138,7 @@
 	g.timer.next = 0
 	for f := g.queue.head; f != nil; {
 		next := f.next
-		if f.deadline != 0 && now >= f.deadline {
-			g.dequeue(now, f, ReasonDeadline)
-		} else {
-			g.timer.add(f.deadline)
-		}
+		g.expireQueued(now, f)
 		f = next
 	}
 	for _, f := range g.running {
@@ -153,6 +152,20 @@
 	}
 }
 
+// expireQueued ends a queued task at its deadline, and tells a long wait once.
+func (g *Gate) expireQueued(now time.Duration, f *flight) {
+	if f.deadline != 0 && now >= f.deadline {
+		g.dequeue(now, f, ReasonDeadline)
+		return
+	}
+	if f.tellAt != 0 && now >= f.tellAt {
+		f.tellAt = 0
+		g.tell(f.job, f.job.find(f.request.Task))
+	}
+	g.timer.add(f.tellAt)
+	g.timer.add(f.deadline)
+}
+
 // stop asks the minion to stop a running task, once.
 func (g *Gate) stop(f *flight, reason Reason) {
 	r := f.job.find(f.request.Task)
--- a/internal/gate/task.go
+++ b/internal/gate/task.go
@@ -72,7 +72,8 @@
 	// stop is why a running task is being stopped.
 	stop       Reason
 	prev, next *flight
-	queued     bool
+	// tellAt is when the owner is told that the task still waits; 0 once told.
+	tellAt time.Duration
 }
 
 func (f *flight) key() Key { return Key{Job: f.job.number, Task: f.request.Task} }
