--- a/internal/gate/lending.go
+++ b/internal/gate/lending.go
@@ -206,7 +206,7 @@
 	var best *holder
 	for i := range l.holders {
 		h := &l.holders[i]
-		if h.lent-h.outstanding < h.waiting && (best == nil || h.before(best)) {
+		if h.waiting > 0 && h.lent-h.outstanding < h.waiting && (best == nil || h.before(best)) {
 			best = h
 		}
 	}
--- a/internal/gate/lending_test.go
+++ b/internal/gate/lending_test.go
@@ -120,3 +120,18 @@
 	w.settle()
 	assert.Equal(t, w.told[1].Slots, 4)
 }
+
+func TestTasksBeyondTheGrantAreNoDemand(t *testing.T) {
+	w := &lendingWorld{told: map[SessionID]Grant{}}
+	w.l.SetCapacity(8)
+	for id := SessionID(1); id <= 2; id++ {
+		w.l.Join(0, id, 0)
+		w.settle()
+	}
+	for range 12 {
+		w.l.Begun(0, 1)
+		w.settle()
+	}
+	assert.Equal(t, w.told[1].Slots, 4)
+	assert.Equal(t, w.told[2].Slots, 4)
+}
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -17,6 +17,7 @@
 	if gr == nil {
 		return
 	}
+	g.raiseFloor(now, gr, m.OpenFrom)
 	j := g.job(gr, m.Job)
 	if j == nil {
 		return
@@ -78,7 +79,7 @@
 
 // tellWaitAfter is how long a task waits before its owner is told, so that it
 // can recall the task. Short waits cost no message.
-const tellWaitAfter = 250 * time.Millisecond
+const tellWaitAfter = time.Second
 
 // start hands a task to the minion. This is the only place that does.
 func (g *Gate) start(now time.Duration, f *flight, r *record) {
