Entry: one way to lose a group; jobs accepted while it is lost are followed

An accept that control answered after the group had been lost left a job that nobody owned here, and its caller waiting until the next registration. Found by reading. Reading of a claim's jobs ends with the claim.

--- a/api/job/job.go
+++ b/api/job/job.go
@@ -92,8 +92,6 @@
 	ReasonCancelled = "cancelled"
 	// ReasonDeadline: the job's time ran out.
 	ReasonDeadline = "deadline"
-	// ReasonRefusedEverywhere: every agent that could run a task refused it.
-	ReasonRefusedEverywhere = "refused_everywhere"
 )
 
 // Code is the class of an error.
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -229,6 +229,10 @@
 	l.metrics.accepted(len(rec.Spec.Tasks))
 	h := l.hold(rec)
 	l.owner.Accept(rec, l.deadline(rec.Spec, l.now))
+	if !l.owner.Owns(rec.Job) {
+		// The group was lost while control answered.
+		l.Lost(rec.Job)
+	}
 	return submitReply{kind: submitHeld, held: h}
 }
 
--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -79,35 +79,51 @@
 // adoptGroups claims the groups that are given to this entry and drops those
 // that were given away.
 func (l *loop) adoptGroups() {
-	for group, epoch := range l.claims {
-		if g := l.view.Groups[group]; g == nil || g.Owner != l.incarnation || g.Epoch != epoch {
-			l.owner.Fenced(group)
-			delete(l.claims, group)
-			delete(l.recorders, group)
+	for group, c := range l.claims {
+		if g := l.view.Groups[group]; g == nil || g.Owner != l.incarnation || g.Epoch != c.epoch {
+			l.loseGroup(group)
 		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(l.view.Groups)) {
 		g := l.view.Groups[number]
-		if g.Owner != l.incarnation || g.Group == l.incarnation || l.claims[number] == g.Epoch {
+		if g.Owner != l.incarnation || g.Group == l.incarnation || l.claims[number].epoch == g.Epoch {
 			continue
 		}
-		l.claims[number] = g.Epoch
+		ctx, stop := context.WithCancel(l.ctx)
+		l.claims[number] = claim{epoch: g.Epoch, stop: stop}
 		l.opts.Log.Info("taking over", "group", number, "epoch", g.Epoch)
 		l.owner.Claim(number, g.Epoch)
-		go l.fetch(number, g.Epoch, l.term)
+		go l.fetch(ctx, number, g.Epoch, l.term)
 	}
 }
 
+// claim is a group that was given to this entry.
+type claim struct {
+	epoch uint64
+	// stop ends the reading of its open jobs.
+	stop context.CancelFunc
+}
+
+// loseGroup drops a group that another entry owns now.
+func (l *loop) loseGroup(group uint64) {
+	if c, ok := l.claims[group]; ok {
+		c.stop()
+	}
+	delete(l.claims, group)
+	delete(l.recorders, group)
+	l.owner.Fenced(group)
+}
+
 // fetchLimit is the number of jobs in one page of a takeover.
 const fetchLimit = 64
 
 // fetch reads the open jobs of a claimed group, page by page.
-func (l *loop) fetch(group, epoch, term uint64) {
+func (l *loop) fetch(ctx context.Context, group, epoch, term uint64) {
 	request := &wirepb.ListOpenJobsRequest{Group: group, Limit: fetchLimit}
-	for attempt := 0; l.ctx.Err() == nil; {
-		page, err := l.control.ListOpenJobs(l.ctx, request)
+	for attempt := 0; ctx.Err() == nil; {
+		page, err := l.control.ListOpenJobs(ctx, request)
 		if err != nil {
-			pause(l.ctx, attempt)
+			pause(ctx, attempt)
 			attempt++
 			continue
 		}
@@ -128,7 +144,7 @@
 }
 
 func (i inherited) apply(l *loop) {
-	if i.term != l.term || l.claims[i.group] != i.epoch {
+	if i.term != l.term || l.claims[i.group].epoch != i.epoch {
 		return
 	}
 	jobs := make([]owner.Inherited, 0, len(i.jobs))
@@ -142,9 +158,7 @@
 
 func (l *loop) claimReport(agent uint64, r *wirepb.ClaimReport) {
 	if !l.owner.ClaimReport(agent, r, l.now) {
-		l.owner.Fenced(r.Group)
-		delete(l.claims, r.Group)
-		delete(l.recorders, r.Group)
+		l.loseGroup(r.Group)
 	}
 }
 
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -59,7 +59,7 @@
 	accepts   map[submissionKey]*accept
 	local     map[submissionKey]*heldJob
 	recorders map[uint64]*recorder
-	claims    map[uint64]uint64 // epoch by group
+	claims    map[uint64]claim // by group
 	// draining are the agents that said so on their session.
 	draining  map[uint64]bool
 	lastToken uint64
@@ -82,7 +82,7 @@
 		accepts:   map[submissionKey]*accept{},
 		local:     map[submissionKey]*heldJob{},
 		recorders: map[uint64]*recorder{},
-		claims:    map[uint64]uint64{},
+		claims:    map[uint64]claim{},
 		draining:  map[uint64]bool{},
 		metrics:   newMetrics(opts.Scope),
 	}
@@ -225,6 +225,9 @@
 		return
 	}
 	l.owner.FencedAll()
+	for job := range l.jobs {
+		l.Lost(job)
+	}
 	for key, a := range l.accepts {
 		a.resolve(submitReply{kind: submitAgain})
 		delete(l.accepts, key)
@@ -233,6 +236,9 @@
 		stop()
 		delete(l.dialers, incarnation)
 	}
+	for _, c := range l.claims {
+		c.stop()
+	}
 	clear(l.sessions)
 	clear(l.claims)
 	clear(l.recorders)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -14,7 +14,7 @@
 	done, taskFailed       tally.Counter
 	taskNotRun, taskLost   tally.Counter
 	takeovers, openJobs    tally.Gauge
-	waitingTasks, sessions tally.Gauge
+	staleUpdates, sessions tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -31,7 +31,7 @@
 		taskLost:     s.Counter("tasks_lost"),
 		takeovers:    s.Gauge("groups_taken_over"),
 		openJobs:     s.Gauge("jobs_open"),
-		waitingTasks: s.Gauge("tasks_waiting"),
+		staleUpdates: s.Gauge("updates_stale"),
 		sessions:     s.Gauge("agents_connected"),
 	}
 }
--- a/internal/entry/recorder.go
+++ b/internal/entry/recorder.go
@@ -77,9 +77,7 @@
 	r.recorder.inFlight = false
 	switch {
 	case r.fenced:
-		delete(l.recorders, r.recorder.group)
-		delete(l.claims, r.recorder.group)
-		l.owner.Fenced(r.recorder.group)
+		l.loseGroup(r.recorder.group)
 		return
 	case r.err != nil:
 		// Control knows better; callers follow their jobs there.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -59,4 +59,8 @@
 func (l *loop) publish() {
 	l.metrics.sessions.Update(float64(len(l.sessions)))
 	l.metrics.openJobs.Update(float64(len(l.jobs)))
+	l.metrics.takeovers.Update(float64(len(l.claims)))
+	if l.owner != nil {
+		l.metrics.staleUpdates.Update(float64(l.owner.Stats().StaleUpdates))
+	}
 }
