Entry: at most 64 accepts are asked again at once

After an outage of control every accept with an unknown outcome, up to 4096, was asked again on its own jittered clock. A shared bound keeps the repeats from being the first load that a new leader sees.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -140,8 +140,9 @@
 	}
 	l.accepts[key] = a
 	l.owner.AcceptSent(a.token)
+	control := l.control
 	go func() {
-		response, err := resolveAccept(l.ctx, l.control, a)
+		response, err := l.resolveAccept(control, a)
 		l.post(accepted{accept: a, response: response, err: err})
 	}()
 }
@@ -152,26 +153,40 @@
 	retryMost  = 2 * time.Second
 )
 
-// resolveAccept asks control until the outcome is known or ctx ends. The token
-// stays the same, so that control answers a repeat with the first outcome.
-func resolveAccept(ctx context.Context, control controlclient.Control, a *accept) (*wirepb.AcceptResponse, error) {
+// maxRetries bounds the accepts that are asked again at once, so that the end of
+// an outage does not begin with all of them together.
+const maxRetries = 64
+
+// resolveAccept asks control until the outcome is known or the process ends.
+// The token stays the same, so that control answers a repeat with the first
+// outcome.
+func (l *loop) resolveAccept(control controlclient.Control, a *accept) (*wirepb.AcceptResponse, error) {
 	request := &wirepb.AcceptRequest{Spec: a.spec, Digest: a.digest, Owner: a.owner, Token: a.token}
-	sent := false
+	response, err := control.Accept(l.ctx, request)
+	if !errors.Is(err, controlclient.ErrUnknownOutcome) || errors.Is(err, controlclient.ErrFenced) {
+		return response, err
+	}
 	for attempt := 0; ; attempt++ {
-		response, err := control.Accept(ctx, request)
-		switch {
-		case err == nil, errors.Is(err, controlclient.ErrFenced), ctx.Err() != nil:
+		pause(l.ctx, attempt)
+		response, err = l.acceptAgain(control, request)
+		// That a repeat was not run says nothing about the first.
+		final := err == nil || errors.Is(err, controlclient.ErrFenced) || errors.Is(err, controlclient.ErrInvalid)
+		if final || l.ctx.Err() != nil {
 			return response, err
-		case errors.Is(err, controlclient.ErrUnknownOutcome):
-			// Later attempts that were not run say nothing about this one.
-			sent = true
-		case !sent:
-			return nil, err
 		}
-		pause(ctx, attempt)
 	}
 }
 
+func (l *loop) acceptAgain(control controlclient.Control, request *wirepb.AcceptRequest) (*wirepb.AcceptResponse, error) {
+	select {
+	case l.retries <- struct{}{}:
+	case <-l.ctx.Done():
+		return nil, l.ctx.Err()
+	}
+	defer func() { <-l.retries }()
+	return control.Accept(l.ctx, request)
+}
+
 // pause waits a jittered time that grows with the attempts.
 func pause(ctx context.Context, attempt int) {
 	most := min(retryLeast<<min(attempt, 10), retryMost)
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -63,6 +63,7 @@
 	// draining are the agents that said so on their session.
 	draining  map[uint64]bool
 	lastToken uint64
+	retries   chan struct{} // one for each accept that is being asked again
 	refusing  bool
 
 	metrics metrics
@@ -84,6 +85,7 @@
 		recorders: map[uint64]*recorder{},
 		claims:    map[uint64]claim{},
 		draining:  map[uint64]bool{},
+		retries:   make(chan struct{}, maxRetries),
 		metrics:   newMetrics(opts.Scope),
 	}
 }
