Owner: a session that comes back looks only at jobs its agent knows

It sorted all open jobs twice for each agent; after a blip of many sessions the loop would have stood for seconds.

--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -75,17 +75,22 @@
 	}
 	a.ended, a.clean, a.endIndex, a.up = true, clean, endIndex, false
 	o.batches.dropAgent(incarnation)
-	o.resolveEnded(a, now)
+	for _, j := range o.jobsAt(incarnation) {
+		o.endAt(j, incarnation, clean, now)
+	}
 	o.settleGroups(now)
 }
 
-// resolveEnded resolves what an ended agent held of all jobs.
-func (o *Owner) resolveEnded(a *agent, now time.Time) {
-	for _, j := range o.sortedJobs() {
-		if slices.Contains(j.agents, a.incarnation) {
-			o.endAt(j, a.incarnation, a.clean, now)
+// jobsAt returns the jobs of which the agent knows, by number.
+func (o *Owner) jobsAt(incarnation uint64) []*job {
+	var jobs []*job
+	for _, j := range o.jobs {
+		if slices.Contains(j.agents, incarnation) {
+			jobs = append(jobs, j)
 		}
 	}
+	slices.SortFunc(jobs, byNumber)
+	return jobs
 }
 
 // AgentGone drops an ended incarnation that control no longer lists. A claim
@@ -141,10 +146,8 @@
 // query asks an agent for the outcomes of all tasks that it holds.
 func (o *Owner) query(incarnation uint64) {
 	refs := map[uint64][]*wirepb.TaskRef{}
-	for _, j := range o.sortedJobs() {
-		if !slices.Contains(j.agents, incarnation) {
-			continue
-		}
+	jobs := o.jobsAt(incarnation)
+	for _, j := range jobs {
 		for i := range j.tasks {
 			if t := &j.tasks[i]; t.agent == incarnation && t.atAgent() {
 				refs[j.group.id] = append(refs[j.group.id], j.ref(uint32(i)))
@@ -159,14 +162,14 @@
 		m := &wirepb.QueryTasks{Group: g.id, Epoch: g.epoch, Tasks: refs[g.id]}
 		o.fx.Send(incarnation, &wirepb.Envelope{Body: &wirepb.Envelope_QueryTasks{QueryTasks: m}})
 	}
-	o.cancelAgain(incarnation)
+	o.cancelAgain(incarnation, jobs)
 }
 
 // cancelAgain repeats the cancels of jobs that won't go on: earlier ones may
 // have been lost with the session.
-func (o *Owner) cancelAgain(incarnation uint64) {
-	for _, j := range o.sortedJobs() {
-		if j.state != jobFailing && !j.answered() || !slices.Contains(j.agents, incarnation) {
+func (o *Owner) cancelAgain(incarnation uint64, jobs []*job) {
+	for _, j := range jobs {
+		if j.state != jobFailing && !j.answered() {
 			continue
 		}
 		for i := range j.tasks {
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -193,6 +193,8 @@
 	for _, j := range o.jobs {
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	slices.SortFunc(jobs, byNumber)
 	return jobs
 }
+
+func byNumber(a, b *job) int { return cmp.Compare(a.id, b.id) }
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -110,13 +110,23 @@
 	for _, e := range early {
 		o.claimUpdate(g, e, now)
 	}
-	// An agent may have reported and ended before the jobs were loaded.
-	for _, a := range o.sortedAgents() {
-		if a.ended {
-			o.resolveEnded(a, now)
+	o.endEarly(g, now)
+	o.settleGroup(g, now)
+}
+
+// endEarly resolves what was reported by agents that ended before the jobs
+// were loaded.
+func (o *Owner) endEarly(g *group, now time.Time) {
+	for _, j := range o.sortedJobs() {
+		if j.group != g {
+			continue
+		}
+		for _, incarnation := range j.agents {
+			if a := o.agents[incarnation]; a != nil && a.ended {
+				o.endAt(j, incarnation, a.clean, now)
+			}
 		}
 	}
-	o.settleGroup(g, now)
 }
 
 func (o *Owner) inherit(g *group, in Inherited) {
