--- /dev/null
+++ b/internal/owner/storm_test.go
@@ -0,0 +1,46 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+type noEffects struct{ sends int }
+
+func (n *noEffects) Send(uint64, *wirepb.Envelope)                  { n.sends++ }
+func (n *noEffects) Place(Placeable)                                {}
+func (n *noEffects) Replace(uint64, uint32)                         {}
+func (n *noEffects) TaskEnded(TaskEnd)                              {}
+func (n *noEffects) Withdraw(uint64)                                {}
+func (n *noEffects) Answer(uint64, *wirepb.JobAnswer)               {}
+func (n *noEffects) Record(uint64, uint64, []*wirepb.JobCompletion) {}
+func (n *noEffects) Lost(uint64)                                    {}
+
+// BenchmarkReconnect is the time in which an owner takes back one session of
+// 1,500 agents with 1,000 open jobs of 100 tasks at them.
+func BenchmarkReconnect(b *testing.B) {
+	const agents, jobs, tasks = 1500, 1000, 100
+	o := New(Config{Incarnation: 1}, &noEffects{})
+	for a := range uint64(agents) {
+		o.AgentUp(2 + a)
+	}
+	now := time.Unix(1000, 0)
+	spec := &wirepb.JobSpec{Tasks: make([]*wirepb.Task, tasks)}
+	for i := range spec.Tasks {
+		spec.Tasks[i] = &wirepb.Task{}
+	}
+	for n := range uint64(jobs) {
+		o.Accept(&wirepb.JobRecord{Job: 10_000 + n, Group: 1, Spec: spec}, time.Time{})
+		for t := range uint64(tasks) {
+			o.Assign(10_000+n, uint32(t), 2+(n*37+t)%agents, 0, now)
+		}
+	}
+	for i := 0; b.Loop(); i++ {
+		agent := 2 + uint64(i)%agents
+		o.AgentDown(agent)
+		o.AgentUp(agent)
+		o.Flush()
+	}
+}
