--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -59,10 +59,11 @@
 	accepts   map[submissionKey]*accept
 	local     map[submissionKey]*heldJob
 	recorders map[uint64]*recorder
-	claims    map[uint64]uint64 // epoch by group
+	claims    map[uint64]claim // by group
 	// draining are the agents that said so on their session.
 	draining  map[uint64]bool
 	lastToken uint64
+	retries   chan struct{} // one for each accept that is being asked again
 	refusing  bool
 
 	metrics metrics
@@ -82,8 +83,9 @@
 		accepts:   map[submissionKey]*accept{},
 		local:     map[submissionKey]*heldJob{},
 		recorders: map[uint64]*recorder{},
-		claims:    map[uint64]uint64{},
+		claims:    map[uint64]claim{},
 		draining:  map[uint64]bool{},
+		retries:   make(chan struct{}, maxRetries),
 		metrics:   newMetrics(opts.Scope),
 	}
 }
@@ -186,7 +188,7 @@
 		l.owner.Tick(l.now)
 		l.assign()
 		l.recall()
-		l.owner.Flush()
+		l.owner.Flush(l.now)
 		l.sendDemands()
 		l.sendRecords()
 	}
@@ -200,7 +202,7 @@
 	l.giveUp()
 	l.incarnation = r.incarnation
 	l.term++
-	l.owner = owner.New(owner.Config{Incarnation: r.incarnation, ResolveGrace: resolveGrace}, l)
+	l.owner = owner.New(owner.Config{Incarnation: r.incarnation, ResolveGrace: resolveGrace, ForgetDelay: forgetDelay}, l)
 	l.dispatch = placement.New(l.opts.Placement)
 	l.adopt(l.view)
 }
@@ -225,6 +227,9 @@
 		return
 	}
 	l.owner.FencedAll()
+	for job := range l.jobs {
+		l.Lost(job)
+	}
 	for key, a := range l.accepts {
 		a.resolve(submitReply{kind: submitAgain})
 		delete(l.accepts, key)
@@ -233,6 +238,9 @@
 		stop()
 		delete(l.dialers, incarnation)
 	}
+	for _, c := range l.claims {
+		c.stop()
+	}
 	clear(l.sessions)
 	clear(l.claims)
 	clear(l.recorders)
