--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -46,7 +46,7 @@
 func (d *Dispatcher) Admit(info JobInfo, now time.Time) (Refusal, bool) {
 	d.prune()
 	t := d.team(info.Team)
-	d.dropStalePending(t, now)
+	t.pending.expire(now)
 	checks := [...]func(*JobInfo, *team, time.Time) (Refusal, bool){
 		d.checkEndpoint, d.checkBounds, d.checkDelay, d.checkQuota,
 	}
@@ -56,8 +56,7 @@
 		}
 	}
 	t.tokens -= float64(info.Tasks)
-	t.pending += info.Tasks
-	t.pendingAt = now
+	t.pending.admit(info.Tasks, now)
 	return Refusal{}, true
 }
 
@@ -74,7 +73,7 @@
 }
 
 func (d *Dispatcher) checkBounds(info *JobInfo, t *team, _ time.Time) (Refusal, bool) {
-	if d.waiting+t.pending+info.Tasks > d.cfg.MaxWaitingTasks || d.waitingBytes+info.Bytes > d.cfg.MaxWaitingBytes {
+	if d.waiting+t.pending.tasks()+info.Tasks > d.cfg.MaxWaitingTasks || d.waitingBytes+info.Bytes > d.cfg.MaxWaitingBytes {
 		return Refusal{Code: RefusedQueueFull, Detail: "too many tasks or bytes wait at this entry", RetryAfter: d.retryAfter(0)}, false
 	}
 	return Refusal{}, true
@@ -87,7 +86,7 @@
 	if rate <= 0 {
 		return Refusal{}, true
 	}
-	ahead := seconds(float64(t.waiting+t.pending) / rate)
+	ahead := seconds(float64(t.waiting+t.pending.tasks()) / rate)
 	if over := ahead - d.cfg.MaxWait; over > 0 {
 		detail := fmt.Sprintf("estimated wait of %s is over the bound", ahead.Round(time.Millisecond))
 		return Refusal{Code: RefusedTooLate, Detail: detail, RetryAfter: d.retryInTurn(t, over, float64(info.Tasks)/d.serviceRate(info), now)}, false
@@ -122,7 +121,7 @@
 }
 
 func (d *Dispatcher) checkQuota(info *JobInfo, t *team, now time.Time) (Refusal, bool) {
-	if limit := d.share(t.quota.MaxWaiting); limit > 0 && t.waiting+t.pending+info.Tasks > limit {
+	if limit := d.share(t.quota.MaxWaiting); limit > 0 && t.waiting+t.pending.tasks()+info.Tasks > limit {
 		return Refusal{Code: RefusedTeamQuota, Detail: "too many tasks of the team wait", RetryAfter: d.retryAfter(0)}, false
 	}
 	if wait := t.untilTokens(d.entries, now); wait > 0 {
@@ -153,10 +152,4 @@
 	return wait + time.Duration(d.rand.Int64N(int64(wait)/retrySpread))
 }
 
-func (d *Dispatcher) dropStalePending(t *team, now time.Time) {
-	if t.pending > 0 && now.Sub(t.pendingAt) > pendingTime {
-		t.pending = 0
-	}
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -150,7 +150,7 @@
 	}
 	j := newJob(info, d.queue(info.Service, info.Team))
 	d.jobs[info.Job] = j
-	j.queue.team.pending = max(0, j.queue.team.pending-info.Tasks)
+	j.queue.team.pending.added(info.Tasks)
 	d.wait(j, info.Tasks)
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -98,3 +98,14 @@
 	a, ok := d.Next(start)
 	assert.Assert(t, ok && a.Job == 1 && a.Agent == 1)
 }
+
+// Jobs that were admitted and never added stop counting, though others go on
+// being admitted.
+func TestAdmittedJobsThatNeverComeAreForgotten(t *testing.T) {
+	d := New(Config{MaxWaitingTasks: 100})
+	d.SetAgents(twoAgents())
+	for i := range 200 {
+		_, ok := d.Admit(crop(0, 4), start.Add(time.Duration(i)*time.Second))
+		assert.Assert(t, ok, "after %d s", i)
+	}
+}
--- a/internal/placement/prune.go
+++ b/internal/placement/prune.go
@@ -37,7 +37,7 @@
 func (d *Dispatcher) inUse() (map[*team]bool, map[*service]bool) {
 	teams, services := map[*team]bool{}, map[*service]bool{}
 	for name, t := range d.teams {
-		teams[t] = t.pending > 0 || t.quota != (Team{Name: name})
+		teams[t] = t.pending.tasks() > 0 || t.quota != (Team{Name: name})
 	}
 	for _, p := range d.pools {
 		for _, s := range p.services {
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -4,19 +4,50 @@
 
 // team is the state of one team at this entry.
 type team struct {
-	quota     Team
-	running   int
-	waiting   int
-	pending   int // tasks admitted and not added yet
-	pendingAt time.Time
-	tokens    float64 // tasks that may be admitted now; below 0 is a debt
-	filledAt  time.Time
+	quota    Team
+	running  int
+	waiting  int
+	pending  pending
+	tokens   float64 // tasks that may be admitted now; below 0 is a debt
+	filledAt time.Time
 	// horizon is until when the refused jobs were told to stay away, one after
 	// the other at the team's rate.
 	horizon time.Time
 	counted uint64 // last round of activeWeight
 }
 
+// pending counts tasks that were admitted and not added yet. Those of jobs that
+// are never added are forgotten after pendingTime to twice that.
+type pending struct {
+	earlier, latest int
+	since           time.Time // of latest
+}
+
+func (p *pending) tasks() int { return p.earlier + p.latest }
+
+func (p *pending) admit(n int, now time.Time) {
+	p.expire(now)
+	p.latest += n
+}
+
+func (p *pending) added(n int) {
+	early := min(n, p.earlier)
+	p.earlier -= early
+	p.latest = max(0, p.latest-(n-early))
+}
+
+func (p *pending) expire(now time.Time) {
+	age := now.Sub(p.since)
+	if age < pendingTime {
+		return
+	}
+	p.earlier, p.latest = p.latest, 0
+	if age >= 2*pendingTime {
+		p.earlier = 0
+	}
+	p.since = now
+}
+
 func (t *team) weight() float64 {
 	if t.quota.Weight <= 0 {
 		return 1
