An agent with an empty list of services runs none

The entry hands over an empty list when operators allow an endpoint none of the services that its minion announces. Taken as any service, every task sent there would have come back as not run.

--- a/internal/placement/agents.go
+++ b/internal/placement/agents.go
@@ -80,11 +80,11 @@
 		d.list = append(d.list, a)
 	}
 	a.seen = d.setRound
-	if a.pool == nil || !slices.Equal(a.info.Services, info.Services) {
+	if a.pool == nil || !sameServices(a.info.Services, info.Services) {
 		d.movePool(a, d.pool(info.Services))
 	}
 	services := a.info.Services
-	if !slices.Equal(services, info.Services) {
+	if !sameServices(services, info.Services) {
 		services = slices.Clone(info.Services)
 	}
 	a.info = *info
@@ -220,16 +220,25 @@
 	return min(d.policy.limit(a), int(a.window), a.healthLimit())
 }
 
+// anyService is the key of the pool of agents that run any service.
+const anyService = ""
+
+// sameServices tells whether two lists offer the same; nil is any service.
+func sameServices(a, b []string) bool { return (a == nil) == (b == nil) && slices.Equal(a, b) }
+
 // pool returns the pool of the agents that offer these services.
 func (d *Dispatcher) pool(services []string) *pool {
 	names := slices.Clone(services)
 	sort.Strings(names)
-	key := strings.Join(names, "\x00")
+	key := anyService
+	if services != nil {
+		key = "=" + strings.Join(names, "\x00")
+	}
 	p := d.pools[key]
 	if p != nil {
 		return p
 	}
-	p = &pool{offersAll: len(names) == 0}
+	p = &pool{offersAll: services == nil}
 	d.pools[key] = p
 	for _, name := range names {
 		d.join(d.service(name), p)
@@ -258,7 +267,7 @@
 	}
 	s = &service{name: name}
 	d.services[name] = s
-	if p := d.pools[""]; p != nil && p.offersAll {
+	if p := d.pools[anyService]; p != nil {
 		d.join(s, p)
 		s.countSlots()
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,7 +20,8 @@
 	Zone        string
 	// Slots is the number of tasks its minion runs at once.
 	Slots uint32
-	// Services are the task services of its minion; none is any service.
+	// Services are the task services of its minion; nil is any service, and an
+	// empty list none.
 	Services []string
 	// Draining agents get no new task.
 	Draining bool
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -109,3 +109,18 @@
 		assert.Assert(t, ok, "after %d s", i)
 	}
 }
+
+func TestEmptyListOfServicesOffersNone(t *testing.T) {
+	d := New(Config{})
+	a := Agent{Incarnation: 1, Slots: 1, Connected: true}
+	d.SetAgents([]Agent{a})
+	_, ok := d.Admit(crop(1, 1), start)
+	assert.Assert(t, ok)
+	a.Services = []string{}
+	d.SetAgents([]Agent{a})
+	_, ok = d.Admit(crop(2, 1), start)
+	assert.Assert(t, !ok)
+	d.Add(crop(1, 1), start)
+	_, ok = d.Next(start)
+	assert.Assert(t, !ok)
+}
--- a/internal/placement/prune.go
+++ b/internal/placement/prune.go
@@ -26,7 +26,7 @@
 			delete(d.queues, key)
 		}
 	}
-	if p := d.pools[""]; p != nil && p.offersAll {
+	if p := d.pools[anyService]; p != nil {
 		p.keepServices(services)
 	}
 	d.pruneAt = 2 * (len(d.teams) + len(d.services))
