Client of control: sessions to members are used again

Cause: while no leader was known, each refused request opened a new session: 250 processes that started with the members opened 2,630. Change: a session that led to no leader is kept for 3 s as before and used again when the search comes back to its member. A request on a session that has ended already counts as not sent.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -113,6 +113,12 @@
 	if err != nil {
 		return nil, err
 	}
+	select {
+	case <-s.Done():
+		c.links.drop(s)
+		return nil, wire.ErrClosed // not sent
+	default:
+	}
 	once, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
 	defer cancel()
 	reply, err := s.Call(once, on, e)
--- a/internal/controlclient/links.go
+++ b/internal/controlclient/links.go
@@ -33,13 +33,20 @@
 	dialing chan struct{}
 	hint    string // the address to try first
 	next    int    // the member to try after it
-	retired map[*wire.Session]*time.Timer
+	// retired are sessions that led to no leader, by address. They are used
+	// again when the search comes back to their member.
+	retired map[string]retired
 	closed  bool
 }
 
+type retired struct {
+	session *wire.Session
+	timer   *time.Timer
+}
+
 func (l *links) init(opts Options) {
 	l.opts = opts
-	l.retired = map[*wire.Session]*time.Timer{}
+	l.retired = map[string]retired{}
 	l.wire = wire.Options{
 		Hello:   opts.Hello,
 		Handler: func(*wire.Session, *wirepb.Envelope) {},
@@ -64,8 +71,12 @@
 			l.mu.Unlock()
 			return s, nil
 		case l.dialing == nil:
-			l.dialing = make(chan struct{})
 			address := l.pick()
+			if s := l.revive(address); s != nil {
+				l.mu.Unlock()
+				return s, nil
+			}
+			l.dialing = make(chan struct{})
 			l.mu.Unlock()
 			return l.dial(ctx, address)
 		}
@@ -90,6 +101,18 @@
 	return address
 }
 
+// revive uses a retired session to a member again; nil if there is none.
+func (l *links) revive(address string) *wire.Session {
+	r, ok := l.retired[address]
+	if !ok || !r.timer.Stop() {
+		return nil
+	}
+	delete(l.retired, address)
+	l.current = r.session
+	l.address = address
+	return r.session
+}
+
 func (l *links) dial(ctx context.Context, address string) (*wire.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -124,7 +147,7 @@
 	}
 	l.hint = leader
 	l.current = nil
-	l.retired[s] = time.AfterFunc(retireAfter, s.Close)
+	l.retired[l.address] = retired{s, time.AfterFunc(retireAfter, s.Close)}
 }
 
 // drop forgets a session and closes it.
@@ -133,9 +156,11 @@
 	if l.current == s {
 		l.current = nil
 	}
-	if timer := l.retired[s]; timer != nil {
-		timer.Stop()
-		delete(l.retired, s)
+	for address, r := range l.retired {
+		if r.session == s {
+			r.timer.Stop()
+			delete(l.retired, address)
+		}
 	}
 	l.mu.Unlock()
 	s.Close()
@@ -148,8 +173,8 @@
 	if l.current != nil {
 		open = append(open, l.current)
 	}
-	for s := range l.retired {
-		open = append(open, s)
+	for _, r := range l.retired {
+		open = append(open, r.session)
 	}
 	l.mu.Unlock()
 	for _, s := range open {
