--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -103,6 +103,9 @@
 		return err
 	}
 	if meta != nil {
+		if stored.Entries, err = anchor(log, recovered.Entries, meta); err != nil {
+			return err
+		}
 		stored.Membership = quorum.MembershipOf(meta.Membership)
 		stored.SnapshotIndex = meta.Index
 		stored.SnapshotTerm = meta.Term
@@ -117,6 +120,27 @@
 	return nil
 }
 
+// anchor makes the log follow a snapshot that is newer, as after a crash
+// between the two writes, and returns the entries that count. Otherwise the
+// next entries would leave a hole in the log.
+func anchor(log appender, entries []*wirepb.Entry, meta *wirepb.SnapshotMeta) ([]*wirepb.Entry, error) {
+	if follows(entries, meta) {
+		return entries, nil
+	}
+	record := &wirepb.LogRecord{Snapshot: &wirepb.SnapshotMeta{Index: meta.Index, Term: meta.Term}}
+	return nil, eris.Wrap(log.Append(record), "anchor log")
+}
+
+// follows tells whether a log holds the snapshot's last entry, or goes on
+// right after it.
+func follows(entries []*wirepb.Entry, meta *wirepb.SnapshotMeta) bool {
+	if len(entries) == 0 || entries[0].Index > meta.Index {
+		return len(entries) > 0
+	}
+	at := meta.Index - entries[0].Index
+	return at < uint64(len(entries)) && entries[at].Term == meta.Term
+}
+
 func (p *Process) wrapped(log appender) appender {
 	if p.opts.wrapLog == nil {
 		return log
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -114,3 +116,32 @@
 	assert.Equal(t, c.dump(behind).Ledger.Open, 100)
 	assertJobs(t, client, jobs)
 }
+
+// TestCrashBetweenSnapshotAndLog: a snapshot is durable and the log does not
+// know of it yet. Later entries must not leave a hole in the log.
+func TestCrashBetweenSnapshotAndLog(t *testing.T) {
+	c := startCluster(t, 3, func(o *Options) {
+		o.SnapshotEntries = 20
+		o.RetainEntries = 1
+	})
+	client := c.client()
+	owner := register(t, client, "a")
+	c.caughtUp()
+	leader := c.leader()
+	behind := leader%3 + 1
+	c.kill(behind)
+	jobs := acceptSome(t, client, owner, "s", 50)
+	until(t, "snapshot", func() bool { return c.dump(leader).LastSnapshot > 20 })
+	assert.NilError(t, os.CopyFS(filepath.Join(c.dirs[behind], "snapshots"), os.DirFS(filepath.Join(c.dirs[leader], "snapshots"))))
+	for range 2 {
+		c.start(behind, false)
+		for submission, job := range acceptSome(t, client, owner, fmt.Sprint(len(jobs)), 5) {
+			jobs[submission] = job
+		}
+		c.caughtUp()
+		assert.Equal(t, c.dump(behind).Ledger.Open, len(jobs))
+		c.kill(behind)
+	}
+	c.start(behind, false)
+	assertJobs(t, client, jobs)
+}
