Control: records of up to 24 MiB

A job's answer has to fit into one record; at 8 MiB the largest result of one task alone would not. The largest record is tested through kill and restart; a larger one is refused.

--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -14,7 +14,7 @@
 
 // maxCommandBytes bounds one record, so that it fits in a frame to another
 // member with room to spare.
-const maxCommandBytes = 8 << 20
+const maxCommandBytes = 24 << 20
 
 // Reasons of faults besides those of the ledger.
 const (
--- a/internal/control/takeover_test.go
+++ b/internal/control/takeover_test.go
@@ -171,3 +171,25 @@
 	until(t, "the end is seen", func() bool { return staying.View().Instances[gone] == nil && staying.View().GroupEnded(gone) })
 	assert.Equal(t, staying.View().Groups[staying.Incarnation()].Epoch, uint64(1))
 }
+
+// TestLargeRecord: the largest record travels to all members, and a larger one
+// is refused without harm.
+func TestLargeRecord(t *testing.T) {
+	ctx := context.Background()
+	c := startCluster(t, 3, nil)
+	client := c.client()
+	owner := register(t, client, "a")
+	request := acceptRequest(owner, "large")
+	request.Spec.Tasks[0].Payload = make([]byte, maxCommandBytes-1024)
+	_, err := client.Accept(ctx, request)
+	assert.NilError(t, err)
+	request = acceptRequest(owner, "larger")
+	request.Spec.Tasks[0].Payload = make([]byte, maxCommandBytes)
+	_, err = client.Accept(ctx, request)
+	assert.ErrorIs(t, err, controlclient.ErrInvalid)
+	c.kill(c.leader())
+	page, err := client.ListOpenJobs(ctx, &wirepb.ListOpenJobsRequest{Group: owner})
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Jobs), 1)
+	c.caughtUp()
+}
