--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,7 +20,8 @@
 	Zone        string
 	// Slots is the number of tasks its minion runs at once.
 	Slots uint32
-	// Services are the task services of its minion; none is any service.
+	// Services are the task services of its minion; nil is any service, and an
+	// empty list none.
 	Services []string
 	// Draining agents get no new task.
 	Draining bool
@@ -150,7 +151,7 @@
 	}
 	j := newJob(info, d.queue(info.Service, info.Team))
 	d.jobs[info.Job] = j
-	j.queue.team.pending = max(0, j.queue.team.pending-info.Tasks)
+	j.queue.team.pending.added(info.Tasks)
 	d.wait(j, info.Tasks)
 }
 
