Control: large records at the product's timeouts; one slow request ends no session

Cause: under the race detector and other load, a record of 24 MiB held up heartbeats for longer than the tests' election timeout of 0.1 s, and the accept ended as an unknown outcome. A client no longer ends its session for one request that waits long while others are answered: at an overload all of them would be sent again.

--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -13,8 +13,8 @@
 const roleControl = "control"
 
 // maxCommandBytes bounds one record, so that it fits in a frame to another
-// member with room to spare.
-const maxCommandBytes = 24 << 20
+// member and delays the heartbeats behind it by less than an election timeout.
+const maxCommandBytes = 16 << 20
 
 // Reasons of faults besides those of the ledger.
 const (
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -47,6 +48,8 @@
 	opts  Options
 	links links
 	retry tally.Counter
+	// answered is the time of the last answer, in Unix nanoseconds.
+	answered atomic.Int64
 }
 
 var _ Control = (*Client)(nil)
@@ -122,6 +125,7 @@
 	once, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
 	defer cancel()
 	reply, err := s.Call(once, on, e)
+	c.note(err)
 	var fault *wire.FaultError
 	switch {
 	case err == nil:
@@ -132,13 +136,28 @@
 		c.links.drop(s)
 	default:
 		a.unknown = true
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && c.silent() {
 			c.links.drop(s)
 		}
 	}
 	return nil, err
 }
 
+// note keeps when the last answer came, a fault or not.
+func (c *Client) note(err error) {
+	var fault *wire.FaultError
+	if err == nil || errors.As(err, &fault) {
+		c.answered.Store(time.Now().UnixNano())
+	}
+}
+
+// silent tells that no request was answered for the time of an attempt. One
+// request that waits long is no reason to end the session of all others: at an
+// overload they would all be sent again.
+func (c *Client) silent() bool {
+	return time.Now().UnixNano()-c.answered.Load() >= int64(attemptTimeout)
+}
+
 // learn takes in a fault.
 func (c *Client) learn(s *wire.Session, f *wirepb.Fault, a *attempts) {
 	switch f.Code {
