--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,8 +75,12 @@
 // stops the command gracefully on SIGTERM and SIGINT.
 func Run(args []string, out, errOut io.Writer) (code int) {
 	defer func() {
-		if shown, ok := recover().(helpShown); ok {
-			code = shown.code
+		switch cause := recover().(type) {
+		case nil:
+		case helpShown:
+			code = cause.code
+		default:
+			panic(cause)
 		}
 	}()
 	var g grammar
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
@@ -22,7 +23,8 @@
 
 // NewMetrics makes the root scope with tags that every metric carries.
 func NewMetrics(tags map[string]string) *Metrics {
-	reporter := tallyprom.NewReporter(tallyprom.Options{})
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "endivewing",
 		Tags:           tags,
