--- a/internal/control/install.go
+++ b/internal/control/install.go
@@ -19,6 +19,8 @@
 const (
 	chunkBytes   = 512 << 10
 	chunkTimeout = 10 * time.Second
+	// offerRetry is the pause after a snapshot that could not be sent.
+	offerRetry = 200 * time.Millisecond
 )
 
 // installs moves snapshots between members, outside the loop.
@@ -94,16 +96,32 @@
 	}
 	x.wait.Go(func() {
 		err := x.send(m)
-		x.mu.Lock()
-		delete(x.sending, m.To)
-		x.mu.Unlock()
-		if err != nil {
-			x.p.opts.Log.V(1).Info("snapshot not sent", "member", m.To, "error", err.Error())
-			x.p.post(snapshotNotSent{m.To})
+		if err == nil {
+			x.sent(m.To)
+			return
 		}
+		x.p.opts.Log.V(1).Info("snapshot not sent", "member", m.To, "error", err.Error())
+		x.retryLater(m.To)
 	})
 }
 
+func (x *installs) sent(to uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.sending, to)
+}
+
+// retryLater tells the core after a pause, so that a member that is down does
+// not cost a reading of the snapshot at each try.
+func (x *installs) retryLater(to uint64) {
+	select {
+	case <-time.After(offerRetry):
+		x.sent(to) // before the core offers again
+		x.p.post(snapshotNotSent{to})
+	case <-x.ctx.Done():
+	}
+}
+
 func (x *installs) send(m *wirepb.CoreMessage) error {
 	s := x.p.peers.session(m.To)
 	if s == nil {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -12,7 +12,7 @@
 
 const (
 	redialFirst = 20 * time.Millisecond
-	redialMost  = time.Second
+	redialMost  = 250 * time.Millisecond
 )
 
 // peers carries messages to the other members. What can't be sent is dropped:
@@ -87,9 +87,21 @@
 			return s
 		}
 	}
+	if inbound == nil || ended(inbound) {
+		return nil
+	}
 	return inbound
 }
 
+func ended(s *wire.Session) bool {
+	select {
+	case <-s.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // send passes messages on. It does not wait.
 func (p *peers) send(messages []*wirepb.CoreMessage) {
 	for _, m := range messages {
