What agents can forget rides on the next task

Change: each StartTask carries the floor of its group; only jobs above it are named in a message, after 2 s, and at once for an agent that drains, since it ends when it may forget all. Ruled out: a longer delay alone, which would make a drain slow.

--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -222,6 +222,7 @@
 	if l.view.Instances[agent] == nil || l.draining[agent] == draining {
 		return
 	}
+	l.owner.AgentDraining(agent, draining)
 	if draining {
 		l.draining[agent] = true
 	} else {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -74,9 +74,9 @@
 	defaultMaxTimeout   = time.Hour
 	// resolveGrace is how long a failing job waits to learn what of it ran.
 	resolveGrace = 3 * time.Second
-	// forgetDelay is how long agents keep ended jobs so that they are told of
-	// many at once.
-	forgetDelay = 250 * time.Millisecond
+	// forgetDelay is how long agents may keep ended jobs: most are told with the
+	// next tasks, at no cost, and the rest together.
+	forgetDelay = 2 * time.Second
 )
 
 func (o Options) withDefaults() Options {
--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -12,6 +12,8 @@
 	incarnation uint64
 	// up: a session to it is established.
 	up bool
+	// draining: it waits to be told which jobs it can forget.
+	draining bool
 	// met: there was a session before.
 	met   bool
 	ended bool
@@ -56,6 +58,19 @@
 	return a != nil && a.up
 }
 
+// AgentDraining notes that the incarnation begins or ceases to drain. One that
+// drains is told at once which jobs it can forget, since it ends after that.
+func (o *Owner) AgentDraining(incarnation uint64, draining bool) {
+	if a := o.agents[incarnation]; a != nil {
+		a.draining = draining
+	}
+}
+
+func (o *Owner) draining(incarnation uint64) bool {
+	a := o.agents[incarnation]
+	return a != nil && a.draining
+}
+
 // AgentDown notes that the session to the incarnation ended. What it holds
 // stays in doubt until it is back or has ended.
 func (o *Owner) AgentDown(incarnation uint64) {
--- a/internal/owner/batches.go
+++ b/internal/owner/batches.go
@@ -30,6 +30,8 @@
 	recalls     map[target][]*wirepb.TaskRef
 	forgets     map[target][]uint64
 	completions map[uint64][]*wirepb.JobCompletion
+	// floors are those of the groups since the last Flush; a floor only grows.
+	floors map[uint64]uint64
 	// forgetAt is when the forgets are sent; zero while there are none.
 	forgetAt time.Time
 }
@@ -39,6 +41,7 @@
 		cancels:     map[target][]*wirepb.TaskRef{},
 		recalls:     map[target][]*wirepb.TaskRef{},
 		forgets:     map[target][]uint64{},
+		floors:      map[uint64]uint64{},
 		completions: map[uint64][]*wirepb.JobCompletion{},
 	}
 }
@@ -112,6 +115,7 @@
 	}
 	clear(b.recalls)
 	clear(b.cancels)
+	clear(b.floors)
 	o.flushForgets(now)
 	o.flushCompletions()
 }
@@ -125,15 +129,42 @@
 	if b.forgetAt.IsZero() {
 		b.forgetAt = now.Add(o.cfg.ForgetDelay)
 	}
-	if now.Before(b.forgetAt) {
-		return
-	}
-	b.forgetAt = time.Time{}
+	due := !now.Before(b.forgetAt)
 	for _, to := range sortedTargets(b.forgets) {
-		m := &wirepb.ForgetJobs{Group: to.group, Epoch: o.epoch(to.group), Jobs: b.forgets[to], OpenFrom: o.floor(to.group)}
-		o.fx.Send(to.agent, &wirepb.Envelope{Body: &wirepb.Envelope_ForgetJobs{ForgetJobs: m}})
+		if due || o.draining(to.agent) {
+			o.sendForget(to)
+		}
+	}
+	if due {
+		b.forgetAt = time.Time{}
+	}
+}
+
+func (o *Owner) sendForget(to target) {
+	m := &wirepb.ForgetJobs{Group: to.group, Epoch: o.epoch(to.group), Jobs: o.batches.forgets[to], OpenFrom: o.floor(to.group)}
+	delete(o.batches.forgets, to)
+	o.fx.Send(to.agent, &wirepb.Envelope{Body: &wirepb.Envelope_ForgetJobs{ForgetJobs: m}})
+}
+
+// carryFloor returns the group's floor for a task to the agent. What the floor
+// says need not be said by a message of its own.
+func (o *Owner) carryFloor(to target) uint64 {
+	floor, known := o.batches.floors[to.group]
+	if !known {
+		floor = o.floor(to.group)
+		o.batches.floors[to.group] = floor
 	}
-	clear(b.forgets)
+	waiting, ok := o.batches.forgets[to]
+	if !ok {
+		return floor
+	}
+	waiting = slices.DeleteFunc(waiting, func(job uint64) bool { return job < floor })
+	if len(waiting) == 0 {
+		delete(o.batches.forgets, to)
+	} else {
+		o.batches.forgets[to] = waiting
+	}
+	return floor
 }
 
 func (o *Owner) flushCompletions() {
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -104,7 +104,9 @@
 	t.inherited = false
 	j.touch(agent)
 	o.stats.Placed++
-	o.fx.Send(agent, startEnvelope(j, index, key, now))
+	e := startEnvelope(j, index, key, now)
+	e.GetStartTask().OpenFrom = o.carryFloor(target{agent, j.group.id})
+	o.fx.Send(agent, e)
 	return true
 }
 
