--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -20,7 +20,7 @@
 		Lease:      Duration(5 * time.Second),
 		Election:   Duration(time.Second),
 		Retention:  Duration(time.Hour),
-		Remember:   Duration(14 * 24 * time.Hour),
+		Remember:   Duration(30 * 24 * time.Hour),
 		SnapshotAt: 20000,
 	}
 }
