Remove messages and functions that nothing uses

Cause: AgentLoad was never sent: the load travels in TaskUpdate.load. Dispatcher.AgentLost, resource.KindOfPlural, apiclient.Client.Post and controlfake.Fake.Expire had no caller outside their declaration.

--- a/api/resource/resource.go
+++ b/api/resource/resource.go
@@ -30,16 +30,6 @@
 // Plural is the kind's name in paths.
 func (k Kind) Plural() string { return string(k) + "s" }
 
-// KindOfPlural returns the kind that a path names.
-func KindOfPlural(plural string) (Kind, bool) {
-	for _, k := range Kinds() {
-		if k.Plural() == plural {
-			return k, true
-		}
-	}
-	return "", false
-}
-
 // Object is a resource in JSON.
 type Object struct {
 	Kind     Kind            `json:"kind"`
--- a/internal/apiclient/client.go
+++ b/internal/apiclient/client.go
@@ -91,13 +91,8 @@
 	return c.do(ctx, http.MethodGet, path, nil, nil, into)
 }
 
-// Post sends a body to any path.
-func (c *Client) Post(ctx context.Context, path string, body, into any) error {
-	return c.do(ctx, http.MethodPost, path, nil, body, into)
-}
-
 func resourcePath(kind resource.Kind, name string) string {
-	return fmt.Sprintf("/v1/%ss/%s", kind, url.PathEscape(name))
+	return fmt.Sprintf("/v1/%s/%s", kind.Plural(), url.PathEscape(name))
 }
 
 func waitQuery(wait time.Duration) string {
--- a/internal/controlclient/controlfake/controlfake.go
+++ b/internal/controlclient/controlfake/controlfake.go
@@ -60,15 +60,6 @@
 	}})
 }
 
-// Expire drops all answers of ended jobs, as the end of the retention does.
-func (f *Fake) Expire() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.propose(&wirepb.Command{Body: &wirepb.Command_ExpireJobs{
-		ExpireJobs: &wirepb.ExpireJobs{EndedBeforeUnixMs: time.Now().Add(time.Hour).UnixMilli()},
-	}})
-}
-
 // propose applies a record at once; the lock is held.
 func (f *Fake) propose(cmd *wirepb.Command) ledger.Result {
 	cmd.NowUnixMs = time.Now().UnixMilli()
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -166,7 +166,7 @@
 func (l *loop) message(agent uint64, e *wirepb.Envelope) {
 	switch body := e.Body.(type) {
 	case *wirepb.Envelope_TaskUpdate:
-		l.dispatch.Load(agent, &wirepb.AgentLoad{Running: body.TaskUpdate.Load})
+		l.dispatch.Load(agent, int(body.TaskUpdate.Load))
 		l.owner.Update(agent, body.TaskUpdate, l.now)
 	case *wirepb.Envelope_QueryReport:
 		l.owner.QueryReport(agent, body.QueryReport, l.now)
@@ -174,8 +174,6 @@
 		l.claimReport(agent, body.ClaimReport)
 	case *wirepb.Envelope_SlotGrant:
 		l.dispatch.Granted(agent, body.SlotGrant)
-	case *wirepb.Envelope_AgentLoad:
-		l.dispatch.Load(agent, body.AgentLoad)
 	case *wirepb.Envelope_Draining:
 		l.drainingAgent(agent, !body.Draining.Over)
 	default:
--- a/internal/placement/agents.go
+++ b/internal/placement/agents.go
@@ -159,19 +159,6 @@
 	}
 }
 
-// AgentLost tells that an agent incarnation has ended: it gets nothing more.
-// Its outstanding tasks stay until Ended, Requeue or Remove.
-func (d *Dispatcher) AgentLost(incarnation uint64) {
-	a := d.agents[incarnation]
-	if a == nil {
-		return
-	}
-	a.lost = true
-	a.refresh(d)
-	a.detach()
-	d.countSlots()
-}
-
 // Granted tells how many tasks this entry may have outstanding at an agent.
 // A grant older than the newest one is ignored.
 func (d *Dispatcher) Granted(incarnation uint64, g *wirepb.SlotGrant) {
@@ -184,13 +171,13 @@
 	a.refresh(d)
 }
 
-// Load tells how busy an agent is, with the tasks of all entries.
-func (d *Dispatcher) Load(incarnation uint64, l *wirepb.AgentLoad) {
+// Load tells how many tasks run or wait at an agent, from all entries.
+func (d *Dispatcher) Load(incarnation uint64, tasks int) {
 	a := d.agents[incarnation]
 	if a == nil {
 		return
 	}
-	a.reported = int(l.GetRunning() + l.GetQueued())
+	a.reported = tasks
 	a.sinceReport = 0
 	a.refresh(d)
 }
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/yardstick"
 )
 
@@ -194,11 +193,11 @@
 func (f *fakeFleet) ended(a *fakeAgent, t fakeTask, run time.Duration, failed bool) {
 	a.running--
 	f.startNext(a)
-	load := &wirepb.AgentLoad{Slots: uint32(a.slots), Running: uint32(a.running), Queued: uint32(len(a.queue))}
+	load := a.running + len(a.queue)
 	f.after(f.oneWay, func() { f.outcome(a, t, run, load, failed) })
 }
 
-func (f *fakeFleet) outcome(a *fakeAgent, t fakeTask, run time.Duration, load *wirepb.AgentLoad, failed bool) {
+func (f *fakeFleet) outcome(a *fakeAgent, t fakeTask, run time.Duration, load int, failed bool) {
 	d := f.entries[t.entry]
 	d.Load(a.number, load)
 	j := &f.jobs[t.job]
