--- a/internal/gate/ask.go
+++ b/internal/gate/ask.go
@@ -153,7 +153,7 @@
 		return
 	}
 	for _, number := range m.Jobs {
-		g.graves.add(number)
+		g.tombstones.add(number)
 		if j := g.jobs[number]; j != nil && j.group == gr {
 			g.forget(now, j)
 		}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,11 +41,11 @@
 	services    map[string]bool
 	limits      Limits
 
-	groups   map[uint64]*group
-	jobs     map[uint64]*job
-	sessions map[SessionID]*session
-	owners   map[uint64]*session // by entry incarnation
-	graves   graves
+	groups     map[uint64]*group
+	jobs       map[uint64]*job
+	sessions   map[SessionID]*session
+	owners     map[uint64]*session // by entry incarnation
+	tombstones tombstones
 
 	queue   taskQueue
 	running map[Key]*flight
--- a/internal/gate/group.go
+++ b/internal/gate/group.go
@@ -119,43 +119,43 @@
 	return nil
 }
 
-// graveCount bounds the forgotten jobs that are remembered by number. It backs
-// up openFrom for jobs that ended before older ones of their group.
-const graveCount = 4096
+// tombstoneLimit bounds the tombstones of a gate. They cover the jobs that
+// ended before older ones of their group, which openFrom can't name.
+const tombstoneLimit = 4096
 
-// graves are the numbers of the jobs forgotten last.
-type graves struct {
+// tombstones are the numbers of the jobs forgotten last.
+type tombstones struct {
 	known map[uint64]struct{}
 	ring  []uint64
 	next  int
 }
 
-func (v *graves) add(number uint64) {
-	if v.known == nil {
-		v.known = map[uint64]struct{}{}
+func (t *tombstones) add(number uint64) {
+	if t.known == nil {
+		t.known = map[uint64]struct{}{}
 	}
-	if _, ok := v.known[number]; ok {
+	if _, ok := t.known[number]; ok {
 		return
 	}
-	v.known[number] = struct{}{}
-	if len(v.ring) < graveCount {
-		v.ring = append(v.ring, number)
+	t.known[number] = struct{}{}
+	if len(t.ring) < tombstoneLimit {
+		t.ring = append(t.ring, number)
 		return
 	}
-	delete(v.known, v.ring[v.next])
-	v.ring[v.next] = number
-	v.next = (v.next + 1) % graveCount
+	delete(t.known, t.ring[t.next])
+	t.ring[t.next] = number
+	t.next = (t.next + 1) % tombstoneLimit
 }
 
-func (v *graves) has(number uint64) bool {
-	_, ok := v.known[number]
+func (t *tombstones) has(number uint64) bool {
+	_, ok := t.known[number]
 	return ok
 }
 
 // job returns the record of a job; it makes one if there is none. It is nil
 // when the job is forgotten or belongs to another group.
 func (g *Gate) job(gr *group, number uint64) *job {
-	if number < gr.openFrom || g.graves.has(number) {
+	if number < gr.openFrom || g.tombstones.has(number) {
 		g.stats.Dropped++
 		return nil
 	}
