One way to set defaults: cmp.Or

Cause: three packages had an equal orDefault; the standard library's cmp.Or does the same. Conclusion: no behaviour changes; the tests of load, placement and entry pass.

--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 package entry
 
 import (
+	"cmp"
 	"crypto/tls"
 	"net/http"
 	"time"
@@ -80,13 +81,13 @@
 )
 
 func (o Options) withDefaults() Options {
-	o.Job.Tasks = orDefault(o.Job.Tasks, defaultTasks)
-	o.Job.PayloadBytes = orDefault(o.Job.PayloadBytes, defaultPayloadBytes)
-	o.Job.Timeout = orDefault(o.Job.Timeout, defaultMaxTimeout)
-	o.BodyBytes = orDefault(o.BodyBytes, defaultBodyBytes)
-	o.ReadTimeout = orDefault(o.ReadTimeout, defaultReadTimeout)
-	o.IdleTimeout = orDefault(o.IdleTimeout, defaultIdleTimeout)
-	o.DefaultTimeout = orDefault(o.DefaultTimeout, defaultJobTimeout)
+	o.Job.Tasks = cmp.Or(o.Job.Tasks, defaultTasks)
+	o.Job.PayloadBytes = cmp.Or(o.Job.PayloadBytes, defaultPayloadBytes)
+	o.Job.Timeout = cmp.Or(o.Job.Timeout, defaultMaxTimeout)
+	o.BodyBytes = cmp.Or(o.BodyBytes, defaultBodyBytes)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, defaultReadTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.DefaultTimeout = cmp.Or(o.DefaultTimeout, defaultJobTimeout)
 	o.Placement.Zone = o.Zone
 	if o.ListenAddress == "" {
 		o.ListenAddress = "127.0.0.1:0"
@@ -96,11 +97,3 @@
 	}
 	return o
 }
-
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -3,6 +3,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"time"
@@ -139,27 +140,19 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.TasksMean = orDefault(o.TasksMean, defaultTasksMean)
-	o.TasksMax = orDefault(o.TasksMax, defaultTasksMax)
-	o.Load = orDefault(o.Load, defaultLoad)
-	o.Timeout = orDefault(o.Timeout, defaultTimeout)
-	o.Connections = orDefault(o.Connections, defaultConnections)
-	o.Runs = orDefault(o.Runs, RunsExponential)
-	o.Sizes = orDefault(o.Sizes, SizesGeometric)
+	o.TasksMean = cmp.Or(o.TasksMean, defaultTasksMean)
+	o.TasksMax = cmp.Or(o.TasksMax, defaultTasksMax)
+	o.Load = cmp.Or(o.Load, defaultLoad)
+	o.Timeout = cmp.Or(o.Timeout, defaultTimeout)
+	o.Connections = cmp.Or(o.Connections, defaultConnections)
+	o.Runs = cmp.Or(o.Runs, RunsExponential)
+	o.Sizes = cmp.Or(o.Sizes, SizesGeometric)
 	if len(o.Teams) == 0 {
 		o.Teams = []Team{{Name: defaultTeam, Share: 1}}
 	}
 	return o
 }
 
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
-
 // rate is the mean number of jobs a second outside bursts.
 func (o Options) rate() float64 {
 	if o.JobsPerSecond > 0 {
--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -85,16 +86,9 @@
 	if _, ok := orders[c.Order]; !ok {
 		c.Order = OrderAged
 	}
-	c.AgingPerTask = orDefault(c.AgingPerTask, defaultAgingPerTask)
-	c.MaxWaitingTasks = orDefault(c.MaxWaitingTasks, defaultMaxWaiting)
-	c.MaxWaitingBytes = orDefault(c.MaxWaitingBytes, defaultMaxBytes)
-	c.MaxWait = orDefault(c.MaxWait, defaultMaxWait)
+	c.AgingPerTask = cmp.Or(c.AgingPerTask, defaultAgingPerTask)
+	c.MaxWaitingTasks = cmp.Or(c.MaxWaitingTasks, defaultMaxWaiting)
+	c.MaxWaitingBytes = cmp.Or(c.MaxWaitingBytes, defaultMaxBytes)
+	c.MaxWait = cmp.Or(c.MaxWait, defaultMaxWait)
 	return c
 }
-
-func orDefault[T int | int64 | float64 | time.Duration](v, d T) T {
-	if v == 0 {
-		return d
-	}
-	return v
-}
