--- a/internal/snapshot/reader.go
+++ b/internal/snapshot/reader.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/disk"
 )
 
 // Reader streams the state of one snapshot. Every byte it returns has been
@@ -194,5 +195,5 @@
 			errs = append(errs, os.Remove(filepath.Join(dir, f.Name())))
 		}
 	}
-	return eris.Wrap(errors.Join(append(errs, syncDir(dir))...), "prune snapshots")
+	return eris.Wrap(errors.Join(append(errs, disk.SyncDir(dir))...), "prune snapshots")
 }
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -2,15 +2,14 @@
 
 import (
 	"bufio"
-	"errors"
 	"os"
 	"path/filepath"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/disk"
 )
 
 // Writer writes one snapshot. What is written counts only after Commit.
@@ -116,7 +115,7 @@
 		_ = os.Remove(w.temp)
 		return wrap(err, "rename snapshot")
 	}
-	return syncDir(w.dir)
+	return disk.SyncDir(w.dir)
 }
 
 func (w *Writer) finish() error {
@@ -146,18 +145,8 @@
 }
 
 func wrap(err error, what string) error {
-	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+	if disk.IsFull(err) {
 		return eris.Wrap(ErrDiskFull, what)
 	}
 	return eris.Wrap(err, what)
 }
-
-// syncDir makes names in a folder durable.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return eris.Wrap(err, "open folder")
-	}
-	err = d.Sync()
-	return errors.Join(err, d.Close())
-}
--- a/internal/wal/file.go
+++ b/internal/wal/file.go
@@ -64,13 +64,3 @@
 	}
 	return nil, eris.Wrap(err, "lock folder")
 }
-
-// syncDir makes names in a folder durable.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return eris.Wrap(err, "open folder")
-	}
-	err = d.Sync()
-	return errors.Join(err, d.Close())
-}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -11,10 +11,10 @@
 	"path/filepath"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/disk"
 )
 
 // DefaultSegmentBytes is the size at which a segment is full.
@@ -197,7 +197,7 @@
 }
 
 func (l *Log) undo(cause error) error {
-	if !full(cause) {
+	if !disk.IsFull(cause) {
 		return l.fail("write", cause)
 	}
 	if err := l.file.Truncate(l.size); err != nil {
@@ -211,8 +211,6 @@
 	return l.failed
 }
 
-func full(err error) bool { return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) }
-
 // note keeps what the next segment's first frame and Release need.
 func (l *Log) note(records []*wirepb.LogRecord) {
 	for _, r := range records {
@@ -242,7 +240,7 @@
 		return nil
 	}
 	l.segments = l.segments[n:]
-	return syncDir(l.dir)
+	return disk.SyncDir(l.dir)
 }
 
 // Segments returns the number of files and the size of the last one, in bytes.
@@ -269,7 +267,7 @@
 		_ = os.Remove(temp)
 		return err
 	}
-	if err := errors.Join(os.Rename(temp, path), syncDir(l.dir)); err != nil {
+	if err := errors.Join(os.Rename(temp, path), disk.SyncDir(l.dir)); err != nil {
 		_ = f.Close()
 		return l.fail("rename", err)
 	}
@@ -306,7 +304,7 @@
 }
 
 func firstError(path, op string, err error) error {
-	if full(err) {
+	if disk.IsFull(err) {
 		return eris.Wrapf(ErrDiskFull, "%s %s", op, path)
 	}
 	return &FatalError{File: path, Op: op, Err: err}
