Tests share one way to fix rapid's settings

Cause: seven packages set the same flags in four ways; in five of them a seed on the command line had no effect, so that a failing case couldn't be replayed with another seed. entry set rapid's flags without using rapid and wrote goleak's main anew. Change: testkit.Main, with each package's former numbers of checks and steps; entry uses goleak.VerifyTestMain (same check).

--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"io"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,19 +22,7 @@
 	"endivewing/internal/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "30")
-	code := m.Run()
-	if code == 0 {
-		if err := goleak.Find(); err != nil {
-			println(err.Error())
-			code = 1
-		}
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 const (
 	cluster = "test"
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
@@ -14,16 +12,10 @@
 	"pgregory.net/rapid"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "60")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.steps", "80")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 60, Steps: 80}) }
 
 // model drives two ledgers with the same records: one for its whole life, and
 // one that is restored from a snapshot now and then. It keeps what no record
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -1,10 +1,8 @@
 package owner
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,15 +10,10 @@
 	"pgregory.net/rapid"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "400")
-	_ = flag.Set("rapid.steps", "150")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 400, Steps: 150}) }
 
 type taskKey struct {
 	job  uint64
--- a/internal/placement/dispatcher_test.go
+++ b/internal/placement/dispatcher_test.go
@@ -1,22 +1,16 @@
 package placement
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"endivewing/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "100")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 100}) }
 
 // model is what a test knows of a dispatcher: where each task is.
 type model struct {
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -1,14 +1,13 @@
 package quorum
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/testkit"
 )
 
 const (
@@ -16,15 +15,7 @@
 	testHeartbeatTicks = 2
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "400", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 400}) }
 
 // failer is what *testing.T, *testing.B and *rapid.T share.
 type failer interface {
--- a/internal/wal/property_test.go
+++ b/internal/wal/property_test.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"flag"
 	"os"
 	"testing"
 
@@ -9,17 +8,10 @@
 	"pgregory.net/rapid"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 40}) }
 
 // model is what a log must give back: the terms of its entries by index.
 type model struct {
--- a/internal/yardstick/yardstick_test.go
+++ b/internal/yardstick/yardstick_test.go
@@ -1,21 +1,16 @@
 package yardstick
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"endivewing/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "200")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 200}) }
 
 func TestCentralQueueByHand(t *testing.T) {
 	ms := time.Millisecond
