entry: tests share the start of an agent with one or two entries

Cause: eight tests wrote the same three to five lines. Change: startOne and startTwo; every check is kept.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -14,11 +14,7 @@
 )
 
 func TestCallerGetsItsWholeAnswerAndAResubmissionTheSameJob(t *testing.T) {
-	control := newControl()
-	a := startAgent(t, control, "a", echoTask)
-	first, second := startEntry(t, control, "e1"), startEntry(t, control, "e2")
-	connected(t, first, 1)
-	connected(t, second, 1)
+	_, a, first, second := startTwo(t, echoTask)
 
 	s := submission("s1", 20)
 	var j, again apijob.Job
@@ -41,11 +37,7 @@
 }
 
 func TestJobOfAStoppedEntryEndsAtAnother(t *testing.T) {
-	control := newControl()
-	a := startAgent(t, control, "a", holdTask)
-	first, second := startEntry(t, control, "e1"), startEntry(t, control, "e2")
-	connected(t, first, 1)
-	connected(t, second, 1)
+	control, a, first, second := startTwo(t, holdTask)
 
 	// 8 of 20 tasks start and are held; 12 wait at the entry when it is fenced.
 	s := submission("s1", 20)
@@ -66,11 +58,7 @@
 }
 
 func TestCancelThroughAnotherEntryFailsTheJob(t *testing.T) {
-	control := newControl()
-	startAgent(t, control, "a", holdTask)
-	first, second := startEntry(t, control, "e1"), startEntry(t, control, "e2")
-	connected(t, first, 1)
-	connected(t, second, 1)
+	_, _, first, second := startTwo(t, holdTask)
 	var j, cancelled apijob.Job
 	assert.Equal(t, call(t, first, http.MethodPost, "/v1/jobs?wait=0s", submission("s1", 20), &j), http.StatusAccepted)
 	assert.Equal(t, call(t, second, http.MethodDelete, "/v1/jobs/"+j.ID, nil, &cancelled), http.StatusOK)
@@ -80,10 +68,7 @@
 }
 
 func TestRefusalSaysNotRunOnlyWhenControlConfirmsIt(t *testing.T) {
-	control := newControl()
-	a := startAgent(t, control, "a", echoTask)
-	p := startEntry(t, control, "e1")
-	connected(t, p, 1)
+	control, a, p := startOne(t, echoTask)
 	s := submission("s1", 2)
 	var j apijob.Job
 	assert.Equal(t, call(t, p, http.MethodPost, "/v1/jobs", s, &j), http.StatusOK)
@@ -105,10 +90,7 @@
 }
 
 func TestUnknownAcceptIsResolvedAndNeverCalledNotRun(t *testing.T) {
-	control := newControl()
-	startAgent(t, control, "a", echoTask)
-	p := startEntry(t, control, "e1")
-	connected(t, p, 1)
+	control, _, p := startOne(t, echoTask)
 	// The record is made and its answer lost, for a while.
 	lossy := &lossyControl{Control: control}
 	lossy.lose.Store(true)
@@ -124,10 +106,7 @@
 }
 
 func TestStopFinishesItsJobsAndLeaves(t *testing.T) {
-	control := newControl()
-	a := startAgent(t, control, "a", holdTask)
-	p := startEntry(t, control, "e1")
-	connected(t, p, 1)
+	_, a, p := startOne(t, holdTask)
 	s := submission("s1", 4)
 	answered := make(chan *apijob.Job, 1)
 	go func() {
@@ -158,10 +137,7 @@
 }
 
 func TestLostSessionIsResolvedByAQuery(t *testing.T) {
-	control := newControl()
-	a := startAgent(t, control, "a", holdTask)
-	p := startEntry(t, control, "e1")
-	connected(t, p, 1)
+	_, a, p := startOne(t, holdTask)
 	s := submission("s1", 4)
 	var j apijob.Job
 	assert.Equal(t, call(t, p, http.MethodPost, "/v1/jobs?wait=0s", s, &j), http.StatusAccepted)
@@ -175,10 +151,7 @@
 }
 
 func TestLostAgentFailsTheJobAndNothingStartsAgain(t *testing.T) {
-	control := newControl()
-	lost := startAgent(t, control, "a", holdTask)
-	p := startEntry(t, control, "e1")
-	connected(t, p, 1)
+	control, lost, p := startOne(t, holdTask)
 	var j apijob.Job
 	assert.Equal(t, call(t, p, http.MethodPost, "/v1/jobs?wait=0s", submission("s1", 12), &j), http.StatusAccepted)
 	until(t, "slots are used", func() bool { return lost.startedTasks() == 8 })
@@ -197,11 +170,7 @@
 }
 
 func TestStopAnswersThoseWhoWaitForOtherEntries(t *testing.T) {
-	control := newControl()
-	startAgent(t, control, "a", holdTask)
-	first, second := startEntry(t, control, "e1"), startEntry(t, control, "e2")
-	connected(t, first, 1)
-	connected(t, second, 1)
+	_, _, first, second := startTwo(t, holdTask)
 	var j apijob.Job
 	assert.Equal(t, call(t, first, http.MethodPost, "/v1/jobs?wait=0s", submission("s1", 2), &j), http.StatusAccepted)
 	status := make(chan int, 1)
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -35,7 +35,7 @@
 	t        *testing.T
 	listener *wire.Listener
 	follower *controlclient.Follower
-	run      func(a *fakeAgent, s *wire.Session, m *wirepb.StartTask)
+	run      taskRunner
 
 	mu        sync.Mutex
 	session   *wire.Session
@@ -45,7 +45,28 @@
 	kinds     map[string]int
 }
 
-func startAgent(t *testing.T, control controlclient.Control, name string, run func(*fakeAgent, *wire.Session, *wirepb.StartTask)) *fakeAgent {
+// taskRunner is what a fake agent does with a task that it is sent.
+type taskRunner func(*fakeAgent, *wire.Session, *wirepb.StartTask)
+
+// startOne starts an agent and an entry that has a session with it.
+func startOne(t *testing.T, run taskRunner) (*controlfake.Fake, *fakeAgent, *Process) {
+	t.Helper()
+	control := newControl()
+	a, p := startAgent(t, control, "a", run), startEntry(t, control, "e1")
+	connected(t, p, 1)
+	return control, a, p
+}
+
+// startTwo is startOne with a second entry.
+func startTwo(t *testing.T, run taskRunner) (control *controlfake.Fake, a *fakeAgent, first, second *Process) {
+	t.Helper()
+	control, a, first = startOne(t, run)
+	second = startEntry(t, control, "e2")
+	connected(t, second, 1)
+	return control, a, first, second
+}
+
+func startAgent(t *testing.T, control controlclient.Control, name string, run taskRunner) *fakeAgent {
 	a := &fakeAgent{
 		t: t, run: run, started: map[[2]uint64]int{}, held: map[[2]uint64]*wirepb.StartTask{},
 		forgotten: map[uint64]bool{}, kinds: map[string]int{},
