Only what other packages use is exported

Cause: reasons, defaults, exit codes and header names were exported and used by their own package only; ledger.JobOpen and wal.Segments served tests only; agent.Options.MaxRun was set by nothing. Change: they are private, or gone where a test can read the field. The stand-in's unused budget header is gone. Ruled out: sentinel errors, which callers may test for; quorum and control, which are under work by others.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,10 +24,10 @@
 )
 
 const (
-	// DefaultMaxRun is the longest run time of a task without a time budget.
-	DefaultMaxRun = 10 * time.Minute
-	// DefaultMaxResult bounds the result of one task, in bytes.
-	DefaultMaxResult = 8 << 20
+	// maxRun is the longest run time of a task without a time budget.
+	maxRun = 10 * time.Minute
+	// defaultMaxResult bounds the result of one task, in bytes.
+	defaultMaxResult = 8 << 20
 	// stopGrace is how long cut tasks may take to end, and a leave to arrive.
 	stopGrace = 2 * time.Second
 )
@@ -56,8 +56,7 @@
 	QueueTasks  int
 	QueueBytes  int
 	ResultBytes int
-	// MaxRun defaults to DefaultMaxRun, MaxResult to DefaultMaxResult.
-	MaxRun    time.Duration
+	// MaxResult bounds the result of one task, in bytes; 0 is 8 MiB.
 	MaxResult int
 	// Hold is how long control holds a sync; 0 is the client's default.
 	Hold  time.Duration
@@ -67,11 +66,8 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.MaxRun == 0 {
-		o.MaxRun = DefaultMaxRun
-	}
 	if o.MaxResult == 0 {
-		o.MaxResult = DefaultMaxResult
+		o.MaxResult = defaultMaxResult
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -88,7 +84,7 @@
 		QueueTasks:  o.QueueTasks,
 		QueueBytes:  o.QueueBytes,
 		ResultBytes: o.ResultBytes,
-		MaxRun:      o.MaxRun,
+		MaxRun:      maxRun,
 	}
 }
 
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -38,7 +38,7 @@
 func (c *benchCommand) Run(ctx context.Context, o *output) error {
 	options, err := c.options()
 	if err != nil {
-		return &exitError{code: ExitUsage, cause: err}
+		return &exitError{code: exitUsage, cause: err}
 	}
 	options.Progress = o.err
 	report, err := load.Run(ctx, options)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,17 +14,17 @@
 
 // Exit codes of the program.
 const (
-	ExitOK = 0
-	// ExitFailed: the command ran and its answer is a failure, such as a
+	exitOK = 0
+	// exitFailed: the command ran and its answer is a failure, such as a
 	// failed job or findings in settings.
-	ExitFailed = 1
-	// ExitUsage: the command line was wrong.
-	ExitUsage = 2
-	// ExitUnavailable: the service could not be reached or refused; nothing
+	exitFailed = 1
+	// exitUsage: the command line was wrong.
+	exitUsage = 2
+	// exitUnavailable: the service could not be reached or refused; nothing
 	// ran.
-	ExitUnavailable = 3
-	// ExitUnknown: whether the request took effect is unknown.
-	ExitUnknown = 4
+	exitUnavailable = 3
+	// exitUnknown: whether the request took effect is unknown.
+	exitUnknown = 4
 )
 
 // grammar is the program's command line.
@@ -93,12 +93,12 @@
 	)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
-		return ExitUsage
+		return exitUsage
 	}
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
-		return ExitUsage
+		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -108,12 +108,12 @@
 
 func exitCode(err error, errOut io.Writer) int {
 	if err == nil {
-		return ExitOK
+		return exitOK
 	}
 	var exit *exitError
 	if !errors.As(err, &exit) {
 		fmt.Fprintln(errOut, err)
-		return ExitFailed
+		return exitFailed
 	}
 	if exit.cause != nil {
 		fmt.Fprintln(errOut, exit.cause)
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -48,16 +48,16 @@
 	var problem *job.Error
 	switch {
 	case errors.Is(err, apiclient.ErrUnreachable):
-		return ExitUnavailable
+		return exitUnavailable
 	case errors.Is(err, apiclient.ErrUnknown):
-		return ExitUnknown
+		return exitUnknown
 	case !errors.As(err, &problem):
-		return ExitFailed
+		return exitFailed
 	case problem.Code == job.CodeUnknown:
-		return ExitUnknown
+		return exitUnknown
 	case problem.Code == job.CodeRefused || problem.Code == job.CodeUnavailable:
-		return ExitUnavailable
+		return exitUnavailable
 	default:
-		return ExitFailed
+		return exitFailed
 	}
 }
--- a/internal/cli/demo_test.go
+++ b/internal/cli/demo_test.go
@@ -10,7 +10,7 @@
 
 func TestDemoAnswersItsJob(t *testing.T) {
 	var out, errOut bytes.Buffer
-	assert.Equal(t, Run([]string{"demo"}, &out, &errOut), ExitOK, "%s%s", out.String(), errOut.String())
+	assert.Equal(t, Run([]string{"demo"}, &out, &errOut), exitOK, "%s%s", out.String(), errOut.String())
 	for _, want := range []string{"complete", "proof 12", "lag"} {
 		assert.Assert(t, strings.Contains(out.String(), want), "%s", out.String())
 	}
@@ -22,11 +22,11 @@
 		code int
 		want string
 	}{
-		{[]string{"serve"}, ExitUsage, "--config"},
-		{[]string{"dance"}, ExitUsage, "dance"},
-		{[]string{"check", "--config", "nowhere.yaml"}, ExitFailed, "nowhere.yaml"},
-		{[]string{"submit", "--entry", "127.0.0.1:1", "a"}, ExitUnavailable, "unreachable"},
-		{[]string{"bench", "--entry", "x", "--slots", "1", "--burst", "soon"}, ExitUsage, "AT,LENGTH,FACTOR"},
+		{[]string{"serve"}, exitUsage, "--config"},
+		{[]string{"dance"}, exitUsage, "dance"},
+		{[]string{"check", "--config", "nowhere.yaml"}, exitFailed, "nowhere.yaml"},
+		{[]string{"submit", "--entry", "127.0.0.1:1", "a"}, exitUnavailable, "unreachable"},
+		{[]string{"bench", "--entry", "x", "--slots", "1", "--burst", "soon"}, exitUsage, "AT,LENGTH,FACTOR"},
 	}
 	for _, c := range cases {
 		var out, errOut bytes.Buffer
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -104,13 +104,13 @@
 	return o.render(c.Output, j, jobTable(j))
 }
 
-// showJob prints a job; a failed one ends the program with ExitFailed.
+// showJob prints a job; a failed one ends the program with exitFailed.
 func (o *output) showJob(format string, j *job.Job) error {
 	if err := o.render(format, j, jobTable(j)); err != nil {
 		return err
 	}
 	if j.State == job.Failed {
-		return &exitError{code: ExitFailed}
+		return &exitError{code: exitFailed}
 	}
 	return nil
 }
--- a/internal/cli/member.go
+++ b/internal/cli/member.go
@@ -85,7 +85,7 @@
 	defer client.Close()
 	self, ok := s.Control.Self()
 	if !ok {
-		return &exitError{code: ExitUsage, cause: fmt.Errorf("%s: control.members has no member %d", c.Config, s.Control.ID)}
+		return &exitError{code: exitUsage, cause: fmt.Errorf("%s: control.members has no member %d", c.Config, s.Control.ID)}
 	}
 	m := &wirepb.Member{Id: self.ID, Name: self.Name, Address: self.Address, Zone: self.Zone}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
@@ -149,12 +149,12 @@
 
 // memberError gives an error of the control role its exit code.
 func memberError(err error) error {
-	code := ExitFailed
+	code := exitFailed
 	switch {
 	case errors.Is(err, controlclient.ErrUnknownOutcome):
-		code = ExitUnknown
+		code = exitUnknown
 	case errors.Is(err, controlclient.ErrNotRun):
-		code = ExitUnavailable
+		code = exitUnavailable
 	}
 	return &exitError{code: code, cause: err}
 }
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// MaxSpecBytes bounds the spec of a resource, so that the whole
+	// maxSpecBytes bounds the spec of a resource, so that the whole
 	// configuration fits in one message.
-	MaxSpecBytes = 16 << 10
+	maxSpecBytes = 16 << 10
 	// rememberedRequests is how many answers to ApplyRequests are kept.
 	rememberedRequests = 4096
 )
@@ -41,7 +41,7 @@
 	fingerprint := applyFingerprint(r)
 	if known := l.requests.answers[r.RequestId]; known != nil {
 		if known.Fingerprint != fingerprint {
-			return invalid(ReasonRequestIDReused)
+			return invalid(reasonRequestIDReused)
 		}
 		return Result{Apply: known.Response}
 	}
@@ -55,15 +55,15 @@
 	switch r.GetResource().GetKind() {
 	case KindEndpoint, KindTeam, KindSetting:
 	default:
-		return ReasonUnknownKind
+		return reasonUnknownKind
 	}
 	switch {
 	case r.RequestId == "":
-		return ReasonRequestIDMissing
+		return reasonRequestIDMissing
 	case r.Resource.Name == "":
-		return ReasonNameMissing
-	case len(r.Resource.Spec) > MaxSpecBytes:
-		return ReasonSpecTooLarge
+		return reasonNameMissing
+	case len(r.Resource.Spec) > maxSpecBytes:
+		return reasonSpecTooLarge
 	}
 	return ""
 }
--- a/internal/ledger/instances.go
+++ b/internal/ledger/instances.go
@@ -43,7 +43,7 @@
 	}
 	l.procs.instances[i.Incarnation] = i
 	l.procs.byToken[i.Token] = i.Incarnation
-	l.config.putMessage(kindOf(i), FormatNumber(i.Incarnation), index, i)
+	l.config.putMessage(kindOf(i), formatNumber(i.Incarnation), index, i)
 }
 
 // kindOf is the kind of resource that an instance is.
@@ -56,7 +56,7 @@
 
 func (l *Ledger) putGroup(index uint64, g *wirepb.Group) {
 	l.procs.groups[g.Group] = g
-	l.config.putMessage(KindGroup, FormatNumber(g.Group), index, g)
+	l.config.putMessage(KindGroup, formatNumber(g.Group), index, g)
 }
 
 // register makes a process known. A process at the address of another of its
@@ -86,11 +86,11 @@
 func checkRegister(i *wirepb.Instance) string {
 	switch {
 	case i.GetKind() == wirepb.InstanceKind_INSTANCE_KIND_UNSPECIFIED:
-		return ReasonInstanceKindWanted
+		return reasonInstanceKindWanted
 	case i.Name == "":
-		return ReasonNameMissing
+		return reasonNameMissing
 	case i.Token == "":
-		return ReasonTokenMissing
+		return reasonTokenMissing
 	}
 	return ""
 }
@@ -193,7 +193,7 @@
 // setDraining marks a process as taking no new work.
 func (l *Ledger) setDraining(index, incarnation uint64) Result {
 	if !l.procs.live(incarnation) {
-		return fenced(ReasonUnknownInstance)
+		return fenced(reasonUnknownInstance)
 	}
 	if l.procs.instances[incarnation].Draining {
 		return Result{}
@@ -224,7 +224,7 @@
 		delete(l.procs.instances, incarnation)
 		delete(l.procs.byToken, i.Token)
 		l.procs.ended--
-		l.config.remove(kindOf(i), FormatNumber(incarnation), index)
+		l.config.remove(kindOf(i), formatNumber(incarnation), index)
 	}
 }
 
@@ -234,14 +234,14 @@
 			continue
 		}
 		delete(l.procs.groups, group)
-		l.config.remove(KindGroup, FormatNumber(group), index)
+		l.config.remove(KindGroup, formatNumber(group), index)
 	}
 }
 
 // recordMember ties a member's ID to its disk. The first record stays, so that
 // a member that lost its disk can't pass for its former self.
 func (l *Ledger) recordMember(index uint64, r *wirepb.RecordMember) Result {
-	name := FormatNumber(r.Id)
+	name := formatNumber(r.Id)
 	if l.config.get(KindMember, name) == nil {
 		l.config.putMessage(KindMember, name, index, &wirepb.Member{Id: r.Id, Disk: r.Disk})
 	}
--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -26,7 +26,7 @@
 		return Result{Accept: past.accepted(r)}
 	}
 	if !l.procs.liveEntry(r.Owner) {
-		return fenced(ReasonOwnerEnded)
+		return fenced(reasonOwnerEnded)
 	}
 	j := l.newJob(index, r)
 	l.jobs.insert(j)
@@ -37,11 +37,11 @@
 func checkAccept(r *wirepb.AcceptRequest) string {
 	switch {
 	case r.GetSpec().GetSubmission() == "":
-		return ReasonSubmissionMissing
+		return reasonSubmissionMissing
 	case len(r.Spec.Tasks) == 0:
-		return ReasonNoTasks
+		return reasonNoTasks
 	case len(r.Digest) == 0:
-		return ReasonDigestMissing
+		return reasonDigestMissing
 	}
 	return ""
 }
@@ -108,12 +108,12 @@
 		j := l.jobs.get(end.Job)
 		switch {
 		case end.Answer == nil:
-			return ReasonAnswerMissing
+			return reasonAnswerMissing
 		case j == nil:
 		case j.group != group:
-			return ReasonJobOfOtherGroup
+			return reasonJobOfOtherGroup
 		case j.state == stateOpen && end.Answer.Complete && len(end.Answer.Results) != len(j.tasks):
-			return ReasonResultCount
+			return reasonResultCount
 		}
 	}
 	return ""
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,22 +27,22 @@
 
 // Reasons of faults.
 const (
-	ReasonOwnerEnded         = "owner_ended"
-	ReasonSubmissionMissing  = "submission_missing"
-	ReasonNoTasks            = "no_tasks"
-	ReasonDigestMissing      = "digest_missing"
-	ReasonResultCount        = "result_count"
-	ReasonJobOfOtherGroup    = "job_of_other_group"
-	ReasonAnswerMissing      = "answer_missing"
-	ReasonUnknownKind        = "unknown_kind"
-	ReasonNameMissing        = "name_missing"
-	ReasonSpecTooLarge       = "spec_too_large"
-	ReasonRequestIDMissing   = "request_id_missing"
-	ReasonRequestIDReused    = "request_id_reused"
-	ReasonTokenMissing       = "token_missing"
-	ReasonUnknownInstance    = "unknown_instance"
-	ReasonUnknownCommand     = "unknown_command"
-	ReasonInstanceKindWanted = "instance_kind_missing"
+	reasonOwnerEnded         = "owner_ended"
+	reasonSubmissionMissing  = "submission_missing"
+	reasonNoTasks            = "no_tasks"
+	reasonDigestMissing      = "digest_missing"
+	reasonResultCount        = "result_count"
+	reasonJobOfOtherGroup    = "job_of_other_group"
+	reasonAnswerMissing      = "answer_missing"
+	reasonUnknownKind        = "unknown_kind"
+	reasonNameMissing        = "name_missing"
+	reasonSpecTooLarge       = "spec_too_large"
+	reasonRequestIDMissing   = "request_id_missing"
+	reasonRequestIDReused    = "request_id_reused"
+	reasonTokenMissing       = "token_missing"
+	reasonUnknownInstance    = "unknown_instance"
+	reasonUnknownCommand     = "unknown_command"
+	reasonInstanceKindWanted = "instance_kind_missing"
 )
 
 // ErrBadNumber is returned for the name of an instance or group that is not a
@@ -127,7 +127,7 @@
 	case *wirepb.Command_RecordMember:
 		return l.recordMember(index, body.RecordMember)
 	default:
-		return invalid(ReasonUnknownCommand)
+		return invalid(reasonUnknownCommand)
 	}
 }
 
@@ -139,8 +139,8 @@
 	return Result{Fault: &Fault{Code: wirepb.FaultCode_FAULT_CODE_FENCED, Reason: reason}}
 }
 
-// FormatNumber is the resource name of an instance or group.
-func FormatNumber(n uint64) string { return strconv.FormatUint(n, 10) }
+// formatNumber is the resource name of an instance or group.
+func formatNumber(n uint64) string { return strconv.FormatUint(n, 10) }
 
 // ParseNumber reads the resource name of an instance or group. Error:
 // ErrBadNumber.
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -159,7 +159,7 @@
 	}}})
 	switch first := m.answers[id]; {
 	case r.Fault != nil:
-		assert.Assert(t, first != nil && r.Fault.Reason == ReasonRequestIDReused)
+		assert.Assert(t, first != nil && r.Fault.Reason == reasonRequestIDReused)
 	case first != nil:
 		assert.Assert(t, proto.Equal(first, r.Apply), "a resend gets the first answer")
 	default:
@@ -243,7 +243,7 @@
 	}
 	for job, group := range m.open {
 		assert.Assert(t, m.whole.Group(group) != nil, "open job %d without a group", job)
-		assert.Assert(t, m.whole.JobOpen(job))
+		assert.Assert(t, m.whole.jobs.isOpen(job))
 	}
 	for _, r := range m.whole.config.since(0) {
 		n, _ := ParseNumber(r.Name)
--- a/internal/ledger/query.go
+++ b/internal/ledger/query.go
@@ -30,9 +30,6 @@
 	return nil
 }
 
-// JobOpen tells that a job is known and has not ended.
-func (l *Ledger) JobOpen(number uint64) bool { return l.jobs.isOpen(number) }
-
 // OpenJobs returns a page of a group's open jobs after a number, with their
 // payloads. more tells that another page follows.
 func (l *Ledger) OpenJobs(group, after uint64, limit int) (page []*wirepb.JobRecord, more bool) {
@@ -66,7 +63,7 @@
 
 // Disk returns the disk that a member's ID is tied to; 0 when it is to none.
 func (l *Ledger) Disk(id uint64) uint64 {
-	res := l.config.get(KindMember, FormatNumber(id))
+	res := l.config.get(KindMember, formatNumber(id))
 	m := new(wirepb.Member)
 	if res == nil || proto.Unmarshal(res.Spec, m) != nil {
 		return 0
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// SnapshotVersion is the format that Encode writes.
-	SnapshotVersion = 1
+	// snapshotVersion is the format that Encode writes.
+	snapshotVersion = 1
 	// maxRecordBytes bounds one record when a snapshot is read.
 	maxRecordBytes = 64 << 20
 )
@@ -43,7 +43,7 @@
 func (l *Ledger) Freeze() *Frozen {
 	f := &Frozen{
 		header: &wirepb.SnapshotHeader{
-			Version:     SnapshotVersion,
+			Version:     snapshotVersion,
 			Index:       l.index,
 			ClockUnixMs: l.clock,
 			Revision:    l.config.revision,
@@ -169,8 +169,8 @@
 	if h == nil {
 		return eris.Wrap(ErrSnapshotDamaged, "no header")
 	}
-	if h.Version != SnapshotVersion {
-		return eris.Wrapf(ErrSnapshotVersion, "version %d, want %d", h.Version, SnapshotVersion)
+	if h.Version != snapshotVersion {
+		return eris.Wrapf(ErrSnapshotVersion, "version %d, want %d", h.Version, snapshotVersion)
 	}
 	d.l.index = h.Index
 	d.l.clock = h.ClockUnixMs
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -21,13 +21,12 @@
 
 // Request headers of a task.
 const (
-	HeaderJob      = "Endivewing-Job"
-	HeaderTask     = "Endivewing-Task"
-	HeaderBudgetMS = "Endivewing-Budget-Ms"
+	headerJob  = "Endivewing-Job"
+	headerTask = "Endivewing-Task"
 )
 
-// MaxPayloadBytes bounds the body of a task.
-const MaxPayloadBytes = 8 << 20
+// maxPayloadBytes bounds the body of a task.
+const maxPayloadBytes = 8 << 20
 
 const readHeaderTimeout = 5 * time.Second
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -42,8 +42,8 @@
 	if err != nil {
 		return 0, "", err
 	}
-	r.Header.Set(HeaderJob, "7")
-	r.Header.Set(HeaderTask, strconv.Itoa(task))
+	r.Header.Set(headerJob, "7")
+	r.Header.Set(headerTask, strconv.Itoa(task))
 	resp, err := f.client.Do(r)
 	if err != nil {
 		return 0, "", err
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -69,11 +69,11 @@
 }
 
 func parseTaskID(h http.Header) (taskID, error) {
-	job, err := strconv.ParseUint(h.Get(HeaderJob), 10, 64)
+	job, err := strconv.ParseUint(h.Get(headerJob), 10, 64)
 	if err != nil {
 		return taskID{}, err
 	}
-	task, err := strconv.ParseUint(h.Get(HeaderTask), 10, 32)
+	task, err := strconv.ParseUint(h.Get(headerTask), 10, 32)
 	return taskID{job: job, task: uint32(task)}, err
 }
 
@@ -87,7 +87,7 @@
 	if err != nil {
 		return c.String(http.StatusBadRequest, "bad task header")
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, MaxPayloadBytes))
+	raw, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, maxPayloadBytes))
 	if err != nil {
 		return c.String(http.StatusBadRequest, "bad payload")
 	}
--- a/internal/wal/fault_test.go
+++ b/internal/wal/fault_test.go
@@ -101,8 +101,7 @@
 	l, _, err := Open(dir, Options{})
 	assert.NilError(t, err)
 	for i := range uint64(3) {
-		_, size := l.Segments()
-		offsets = append(offsets, size)
+		offsets = append(offsets, l.size)
 		assert.NilError(t, l.Append(record(&wirepb.HardState{Term: 1, Commit: i}, 1, i+1)))
 	}
 	assert.NilError(t, l.Close())
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -17,8 +17,8 @@
 	"endivewing/internal/disk"
 )
 
-// DefaultSegmentBytes is the size at which a segment is full.
-const DefaultSegmentBytes = 16 << 20
+// defaultSegmentBytes is the size at which a segment is full.
+const defaultSegmentBytes = 16 << 20
 
 // keptBufferBytes bounds the buffer that is kept between appends.
 const keptBufferBytes = 1 << 20
@@ -26,7 +26,7 @@
 // Options of a log.
 type Options struct {
 	// SegmentBytes is the size at which a new segment is begun; 0 is
-	// DefaultSegmentBytes.
+	// defaultSegmentBytes.
 	SegmentBytes int64
 
 	// create opens a new file; tests put failing files here.
@@ -71,7 +71,7 @@
 // Errors: ErrLocked, ErrVersion, *DamageError, *FatalError, ErrDiskFull.
 func Open(dir string, opts Options) (*Log, *Recovered, error) {
 	if opts.SegmentBytes == 0 {
-		opts.SegmentBytes = DefaultSegmentBytes
+		opts.SegmentBytes = defaultSegmentBytes
 	}
 	if opts.create == nil {
 		opts.create = createFile
@@ -243,9 +243,6 @@
 	return disk.SyncDir(l.dir)
 }
 
-// Segments returns the number of files and the size of the last one, in bytes.
-func (l *Log) Segments() (files int, lastBytes int64) { return len(l.segments) + 1, l.size }
-
 // Close releases files and lock. It writes nothing.
 func (l *Log) Close() error {
 	if errors.Is(l.failed, ErrClosed) {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -162,7 +162,7 @@
 
 // watchIdle sends heartbeats on an idle session and closes a silent one.
 func (s *Session) watchIdle() {
-	tick := time.NewTicker(HeartbeatInterval)
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -175,7 +175,7 @@
 				s.Close()
 				return
 			}
-			if now.UnixNano()-s.sent.Load() >= int64(HeartbeatInterval) {
+			if now.UnixNano()-s.sent.Load() >= int64(heartbeatInterval) {
 				s.lanes[LaneUrgent].heartbeat()
 			}
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,9 +35,9 @@
 )
 
 const (
-	// HeartbeatInterval is how long nothing is sent on a session before a
+	// heartbeatInterval is how long nothing is sent on a session before a
 	// heartbeat is. It is looked at as often, so a silence may be twice as long.
-	HeartbeatInterval = time.Second
+	heartbeatInterval = time.Second
 	// IdleTimeout is how long nothing may arrive before the session is closed.
 	IdleTimeout = 4 * time.Second
 
