--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
@@ -14,16 +12,10 @@
 	"pgregory.net/rapid"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/testkit"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "60")
-	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.steps", "80")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 60, Steps: 80}) }
 
 // model drives two ledgers with the same records: one for its whole life, and
 // one that is restored from a snapshot now and then. It keeps what no record
@@ -167,7 +159,7 @@
 	}}})
 	switch first := m.answers[id]; {
 	case r.Fault != nil:
-		assert.Assert(t, first != nil && r.Fault.Reason == ReasonRequestIDReused)
+		assert.Assert(t, first != nil && r.Fault.Reason == reasonRequestIDReused)
 	case first != nil:
 		assert.Assert(t, proto.Equal(first, r.Apply), "a resend gets the first answer")
 	default:
@@ -251,7 +243,7 @@
 	}
 	for job, group := range m.open {
 		assert.Assert(t, m.whole.Group(group) != nil, "open job %d without a group", job)
-		assert.Assert(t, m.whole.JobOpen(job))
+		assert.Assert(t, m.whole.jobs.isOpen(job))
 	}
 	for _, r := range m.whole.config.since(0) {
 		n, _ := ParseNumber(r.Name)
