Metrics page: the metrics of first events are held as well

A failed job, a refused one and strangers at both session listeners bring four of the six about; the other two are named in the test. Seen to fail first: with the row of endivewing_agent_wire_dropped taken out, and with a name on the page that is not served.

--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/json"
 	"io"
 	"maps"
 	"net"
@@ -16,6 +18,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"endivewing/api/job"
+	"endivewing/internal/apiclient"
 	"endivewing/internal/config"
 	"endivewing/internal/standin"
 )
@@ -36,19 +40,60 @@
 	assert.Assert(t, cut != nil)
 	always, late := types(pageRow, page[:cut[0]]), types(pageRow, page[cut[1]:])
 
-	address := startNode(t)
+	n := startNode(t)
+	provoke(t, n)
+	wanted := maps.Clone(always)
+	maps.Copy(wanted, late)
+	for _, name := range notProvoked {
+		assert.Assert(t, late[name] != "", name)
+		delete(wanted, name)
+	}
 	var served map[string]string
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		served = types(typeLine, scrape(t, address))
-		for name := range always {
+		served = types(typeLine, scrape(t, n.Addresses()["debug"]))
+		for name := range wanted {
 			if served[name] == "" {
 				return poll.Continue("%s is not served", name)
 			}
 		}
 		return poll.Success()
 	}, poll.WithTimeout(20*time.Second))
-	maps.DeleteFunc(served, func(name, kind string) bool { return late[name] == kind })
-	assert.DeepEqual(t, served, always)
+	for _, name := range notProvoked {
+		delete(served, name)
+	}
+	assert.DeepEqual(t, served, wanted)
+}
+
+// notProvoked are late metrics whose events this test can't bring about.
+var notProvoked = []string{"endivewing_entry_entry_messages_wasted", "endivewing_entry_wire_dropped"}
+
+// provoke has a job refused, a job failed, and a stranger dropped by each
+// listener for sessions.
+func provoke(t *testing.T, n *Node) {
+	t.Helper()
+	client := &apiclient.Client{Base: "http://" + n.Addresses()[config.RoleEntry]}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		j, err := client.Submit(t.Context(), submission("default"), 5*time.Second)
+		if err != nil || j.State != job.Failed {
+			return poll.Continue("no failed job yet: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	_, err := client.Submit(t.Context(), submission("nowhere"), 0)
+	assert.ErrorContains(t, err, "no_endpoint")
+	for _, role := range []string{config.RoleControl, config.RoleAgent} {
+		conn, err := net.Dial("tcp", n.Addresses()[role])
+		assert.NilError(t, err)
+		_, err = conn.Write([]byte("no session"))
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Close())
+	}
+}
+
+func submission(service string) *job.Submission {
+	return &job.Submission{
+		SubmissionID: rand.Text(), Team: "test", Service: service, Tasks: []job.Task{{Data: json.RawMessage(`1`)}},
+	}
 }
 
 // types maps names of metrics to their types.
@@ -70,10 +115,10 @@
 	return body
 }
 
-// startNode runs every role on loopback and returns the debug address.
-func startNode(t *testing.T) string {
+// startNode runs every role on loopback, with a minion that fails every task.
+func startNode(t *testing.T) *Node {
 	t.Helper()
-	minion, err := standin.Start(standin.Options{Slots: 1})
+	minion, err := standin.Start(standin.Options{Slots: 1, FailRatio: 1})
 	assert.NilError(t, err)
 	t.Cleanup(minion.Stop)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -94,5 +139,5 @@
 	n, err := Start(t.Context(), &s, logr.Discard())
 	assert.NilError(t, err)
 	t.Cleanup(func() { n.Stop(context.Background()) })
-	return n.Addresses()["debug"]
+	return n
 }
