An answer too large for the ledger fails its job

Cause: control refuses a record over 16 MiB; the entry then dropped the job, which stayed open in the ledger for good, against the promise that every job ends. Change: an answer over 15 MiB ends the job as failed, answer_too_large.

--- a/api/job/job.go
+++ b/api/job/job.go
@@ -92,6 +92,9 @@
 	ReasonCancelled = "cancelled"
 	// ReasonDeadline: the job's time ran out.
 	ReasonDeadline = "deadline"
+	// ReasonAnswerTooLarge: all tasks ran, but their results together are over
+	// what the ledger records.
+	ReasonAnswerTooLarge = "answer_too_large"
 )
 
 // Code is the class of an error.
--- a/internal/owner/batches.go
+++ b/internal/owner/batches.go
@@ -15,6 +15,8 @@
 const (
 	// maxRecordBytes bounds one batch of completions.
 	maxRecordBytes = 1 << 20
+	// maxAnswerBytes bounds one answer; control takes records of 16 MiB.
+	maxAnswerBytes = 15 << 20
 	// maxRecordJobs bounds the jobs of one batch of completions.
 	maxRecordJobs = 512
 )
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
-	apijob "endivewing/api/job"
+	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	apijob "endivewing/api/job"
 	"endivewing/charts"
 	"endivewing/internal/statechart"
 )
@@ -18,6 +20,9 @@
 	ReasonAgentLost  = apijob.ReasonAgentLost
 	ReasonCancelled  = apijob.ReasonCancelled
 	ReasonDeadline   = apijob.ReasonDeadline
+	// ReasonAnswerTooLarge: all tasks ran, but their results together can't be
+	// recorded.
+	ReasonAnswerTooLarge = apijob.ReasonAnswerTooLarge
 	// ReasonAgentLeft is the reason of a task that an agent had not started
 	// when it left cleanly.
 	ReasonAgentLeft = "agent_left"
@@ -133,7 +138,8 @@
 			o.answer(j, j.failedAnswer())
 		}
 	case j.done == len(j.tasks):
-		o.answer(j, j.completeAnswer())
+		o.fx.Withdraw(j.id)
+		o.answer(j, j.endedAnswer())
 	}
 }
 
@@ -141,7 +147,6 @@
 	j.on(evSettle)
 	if a.Complete {
 		o.stats.Completed++
-		o.fx.Withdraw(j.id)
 	} else {
 		o.stats.Failed++
 	}
@@ -152,6 +157,19 @@
 	o.batches.complete(j, a)
 }
 
+// endedAnswer is the answer of a job whose tasks all have results. One that is
+// too large to be made durable fails the job: it could not be given again.
+func (j *job) endedAnswer() *wirepb.JobAnswer {
+	a := j.completeAnswer()
+	if size := proto.Size(a); size > maxAnswerBytes {
+		return &wirepb.JobAnswer{
+			Reason: ReasonAnswerTooLarge,
+			Detail: fmt.Sprintf("%d bytes, the limit is %d", size, maxAnswerBytes),
+		}
+	}
+	return a
+}
+
 // completeAnswer assembles the results in the order of the tasks.
 func (j *job) completeAnswer() *wirepb.JobAnswer {
 	results := make([][]byte, len(j.tasks))
