agent: the type that is one incarnation is called so

Cause: life was a second word for the glossary's incarnation, in the type, its file and its chart. Change: names and comments only; the chart is agent_incarnation. Conclusion: no behaviour changes; the package's tests pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,9 +2,9 @@
 // takes tasks from entries over sessions, lets the gate decide which of them
 // start, runs those at the minion over HTTP and reports their outcomes.
 //
-// One goroutine per incarnation, the life, owns the gate. An incarnation ends
-// wholly before the next one registers: its sessions are closed and nothing of
-// it runs any more, so a new incarnation never speaks for an old one.
+// One goroutine per incarnation owns its gate. An incarnation ends wholly before
+// the next one registers: its sessions are closed and nothing of it runs any
+// more, so a new incarnation never speaks for an old one.
 package agent
 
 import (
@@ -101,8 +101,8 @@
 	draining atomic.Bool
 
 	mu      sync.Mutex
-	current *life
-	next    *life // bound and not registered yet
+	current *incarnation
+	next    *incarnation // bound and not registered yet
 
 	stopOnce sync.Once
 	done     chan struct{}
@@ -119,7 +119,7 @@
 		ready:   make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	first := newLife(p)
+	first := newIncarnation(p)
 	if err := first.bind(opts.ListenAddress); err != nil {
 		return nil, err
 	}
@@ -187,8 +187,8 @@
 
 // Incarnation is the present registration; 0 before the first.
 func (p *Process) Incarnation() uint64 {
-	if l := p.life(); l != nil {
-		return l.incarnation
+	if i := p.active(); i != nil {
+		return i.number
 	}
 	return 0
 }
@@ -196,31 +196,31 @@
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
-func (p *Process) life() *life {
+func (p *Process) active() *incarnation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.current
 }
 
-// registered begins the life of a new incarnation.
+// registered begins a new incarnation.
 func (p *Process) registered(incarnation uint64) {
 	<-p.ready
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.next
+	i := p.next
 	p.next = nil
-	if l == nil {
-		l = newLife(p)
+	if i == nil {
+		i = newIncarnation(p)
 	}
-	p.current = l
-	l.begin(incarnation)
+	p.current = i
+	i.begin(incarnation)
 	p.opts.Log.Info("registered", "incarnation", incarnation)
 }
 
 func (p *Process) changed(view *controlclient.View) {
 	<-p.ready
-	if l := p.life(); l != nil {
-		l.post(configured{view})
+	if i := p.active(); i != nil {
+		i.post(configured{view})
 	}
 }
 
@@ -228,8 +228,8 @@
 func (p *Process) fenced(incarnation uint64) {
 	<-p.ready
 	p.opts.Log.Info("fenced, stopping all tasks", "incarnation", incarnation)
-	if l := p.life(); l != nil {
-		l.end()
+	if i := p.active(); i != nil {
+		i.end()
 	}
 }
 
@@ -249,8 +249,8 @@
 		return
 	}
 	p.follower.Drain()
-	if l := p.life(); l != nil {
-		l.post(drainChanged{})
+	if i := p.active(); i != nil {
+		i.post(drainChanged{})
 	}
 }
 
@@ -259,14 +259,14 @@
 // ends is cut, and the leave then isn't clean.
 func (p *Process) Stop(ctx context.Context) error {
 	p.Drain()
-	l := p.life()
-	if l == nil {
+	i := p.active()
+	if i == nil {
 		p.finish()
 		return nil
 	}
-	clean := l.waitSafe(ctx)
+	clean := i.waitSafe(ctx)
 	if !clean {
-		clean = p.cut(ctx, l)
+		clean = p.cut(ctx, i)
 	}
 	p.opts.Log.Info("leaving", "clean", clean)
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
@@ -277,19 +277,19 @@
 }
 
 // cut stops all tasks and waits a last time for their outcomes to be safe.
-func (p *Process) cut(ctx context.Context, l *life) bool {
+func (p *Process) cut(ctx context.Context, i *incarnation) bool {
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
 	defer cancel()
-	l.post(stopWanted{})
-	return l.waitSafe(grace)
+	i.post(stopWanted{})
+	return i.waitSafe(grace)
 }
 
 // finish closes everything.
 func (p *Process) finish() {
 	p.stopOnce.Do(func() {
 		p.follower.Close()
-		if l := p.life(); l != nil {
-			l.end()
+		if i := p.active(); i != nil {
+			i.end()
 		}
 		p.mu.Lock()
 		if p.next != nil {
--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -24,13 +24,13 @@
 // Dump returns the state; a process that isn't registered or has ended shows
 // no gate.
 func (p *Process) Dump() any {
-	if l := p.life(); l != nil {
+	if i := p.active(); i != nil {
 		reply := make(chan Dump, 1)
-		l.post(dumpWanted{reply})
+		i.post(dumpWanted{reply})
 		select {
 		case d := <-reply:
 			return d
-		case <-l.done:
+		case <-i.done:
 		case <-time.After(dumpTimeout):
 		}
 	}
@@ -48,9 +48,9 @@
 	}
 }
 
-func (l *life) dump() Dump {
-	d := l.p.dump(lifeChart.Name(l.state))
-	d.Incarnation = l.incarnation
-	d.Gate = l.gate.Dump()
+func (i *incarnation) dump() Dump {
+	d := i.p.dump(incarnationChart.Name(i.state))
+	d.Incarnation = i.number
+	d.Gate = i.gate.Dump()
 	return d
 }
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -10,19 +10,19 @@
 
 // applyEndpoint puts what operators declare of this endpoint into force; nil
 // is no declaration. A spec that can't be read leaves what was in force.
-func (l *life) applyEndpoint(declared *wirepb.Resource) {
+func (i *incarnation) applyEndpoint(declared *wirepb.Resource) {
 	var spec resource.EndpointSpec
 	if declared != nil {
 		var err error
 		spec, err = resource.ParseEndpoint(declared.Spec)
 		if err != nil {
-			l.p.opts.Log.Error(err, "endpoint resource ignored", "revision", declared.Revision)
+			i.p.opts.Log.Error(err, "endpoint resource ignored", "revision", declared.Revision)
 			return
 		}
 	}
-	l.operatorDrain = spec.Drain
-	l.gate.SetLimits(limitedBy(l.p.opts.limits(), spec))
-	l.gate.SetServices(servicesWithin(l.p.opts.Services, spec.Services))
+	i.operatorDrain = spec.Drain
+	i.gate.SetLimits(limitedBy(i.p.opts.limits(), spec))
+	i.gate.SetServices(servicesWithin(i.p.opts.Services, spec.Services))
 }
 
 // limitedBy lowers the limits to the declared ones.
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -9,9 +9,9 @@
 	"endivewing/internal/wire"
 )
 
-// event is what the life's goroutine takes in.
+// event is what the incarnation's goroutine takes in.
 type event interface {
-	apply(l *life, now time.Duration)
+	apply(i *incarnation, now time.Duration)
 }
 
 // received is a message of a peer.
@@ -45,41 +45,41 @@
 // stopWanted asks to stop all tasks.
 type stopWanted struct{}
 
-// endWanted asks to end the life.
+// endWanted asks to end the incarnation.
 type endWanted struct{}
 
 // dumpWanted asks for the state.
 type dumpWanted struct{ reply chan<- Dump }
 
-func (e received) apply(l *life, now time.Duration) {
-	id, ok := l.sessionID(now, e.session)
+func (e received) apply(i *incarnation, now time.Duration) {
+	id, ok := i.sessionID(now, e.session)
 	if !ok {
 		return
 	}
 	switch m := e.envelope.Body.(type) {
 	case *wirepb.Envelope_StartTask:
-		l.gate.StartTask(now, id, m.StartTask)
+		i.gate.StartTask(now, id, m.StartTask)
 	case *wirepb.Envelope_Demand:
-		l.gate.Demand(now, id, m.Demand)
+		i.gate.Demand(now, id, m.Demand)
 	case *wirepb.Envelope_ForgetJobs:
-		l.gate.Forget(now, id, m.ForgetJobs)
+		i.gate.Forget(now, id, m.ForgetJobs)
 	case *wirepb.Envelope_RecallTasks:
-		l.gate.Recall(now, id, m.RecallTasks)
+		i.gate.Recall(now, id, m.RecallTasks)
 	case *wirepb.Envelope_CancelTasks:
-		l.gate.Cancel(now, id, m.CancelTasks)
+		i.gate.Cancel(now, id, m.CancelTasks)
 	case *wirepb.Envelope_QueryTasks:
-		l.gate.Query(id, m.QueryTasks)
+		i.gate.Query(id, m.QueryTasks)
 	case *wirepb.Envelope_ClaimGroup:
-		l.gate.Claim(now, id, m.ClaimGroup)
+		i.gate.Claim(now, id, m.ClaimGroup)
 	default:
-		l.p.metrics.unexpected.Inc(1)
+		i.p.metrics.unexpected.Inc(1)
 	}
 }
 
 // sessionID finds a session's number; its first message makes it known. A
 // message that is left over from a closed session doesn't count.
-func (l *life) sessionID(now time.Duration, s *wire.Session) (gate.SessionID, bool) {
-	if id, ok := l.sessions[s]; ok {
+func (i *incarnation) sessionID(now time.Duration, s *wire.Session) (gate.SessionID, bool) {
+	if id, ok := i.sessions[s]; ok {
 		return id, true
 	}
 	select {
@@ -91,64 +91,64 @@
 		go s.Close()
 		return 0, false
 	}
-	l.lastID++
-	l.sessions[s] = l.lastID
-	l.byID[l.lastID] = s
-	l.gate.SessionUp(now, l.lastID, s.Peer().GetIncarnation())
-	return l.lastID, true
+	i.lastID++
+	i.sessions[s] = i.lastID
+	i.byID[i.lastID] = s
+	i.gate.SessionUp(now, i.lastID, s.Peer().GetIncarnation())
+	return i.lastID, true
 }
 
-func (e sessionClosed) apply(l *life, _ time.Duration) {
-	if id, ok := l.sessions[e.session]; ok {
-		delete(l.sessions, e.session)
-		delete(l.byID, id)
-		l.gate.SessionDown(id)
+func (e sessionClosed) apply(i *incarnation, _ time.Duration) {
+	if id, ok := i.sessions[e.session]; ok {
+		delete(i.sessions, e.session)
+		delete(i.byID, id)
+		i.gate.SessionDown(id)
 	}
 }
 
-func (e taskEnded) apply(l *life, now time.Duration) {
-	l.cancels[e.ending.Key]()
-	delete(l.cancels, e.ending.Key)
+func (e taskEnded) apply(i *incarnation, now time.Duration) {
+	i.cancels[e.ending.Key]()
+	delete(i.cancels, e.ending.Key)
 	if e.refused {
-		l.setMinionDown()
+		i.setMinionDown()
 	}
-	l.p.metrics.ended(e.ending)
-	l.gate.Ended(now, e.ending)
+	i.p.metrics.ended(e.ending)
+	i.gate.Ended(now, e.ending)
 }
 
-func (minionUp) apply(l *life, _ time.Duration) {
-	l.probing = false
-	l.gate.SetMinionDown(false)
+func (minionUp) apply(i *incarnation, _ time.Duration) {
+	i.probing = false
+	i.gate.SetMinionDown(false)
 }
 
-func (e configured) apply(l *life, now time.Duration) {
-	l.gate.Configure(now, e.view.Revision, e.view.Groups)
-	l.applyEndpoint(e.view.Endpoints[l.p.opts.Name])
-	l.applyDrain()
+func (e configured) apply(i *incarnation, now time.Duration) {
+	i.gate.Configure(now, e.view.Revision, e.view.Groups)
+	i.applyEndpoint(e.view.Endpoints[i.p.opts.Name])
+	i.applyDrain()
 }
 
-func (drainChanged) apply(l *life, _ time.Duration) { l.applyDrain() }
+func (drainChanged) apply(i *incarnation, _ time.Duration) { i.applyDrain() }
 
 // applyDrain drains while the process or the operators ask for it.
-func (l *life) applyDrain() {
-	if l.operatorDrain || l.p.draining.Load() {
-		l.step(eventDrain)
+func (i *incarnation) applyDrain() {
+	if i.operatorDrain || i.p.draining.Load() {
+		i.step(eventDrain)
 	} else {
-		l.step(eventUndrain)
+		i.step(eventUndrain)
 	}
-	l.gate.SetDraining(l.state == lifeDraining || l.state == lifeStopping)
+	i.gate.SetDraining(i.state == stateDraining || i.state == stateStopping)
 }
 
-func (e safeWanted) apply(l *life, _ time.Duration) {
-	l.safeWaiters = append(l.safeWaiters, e.safe)
+func (e safeWanted) apply(i *incarnation, _ time.Duration) {
+	i.safeWaiters = append(i.safeWaiters, e.safe)
 }
 
-func (stopWanted) apply(l *life, _ time.Duration) { l.gate.StopRunning(gate.ReasonStopped) }
+func (stopWanted) apply(i *incarnation, _ time.Duration) { i.gate.StopRunning(gate.ReasonStopped) }
 
-func (endWanted) apply(l *life, _ time.Duration) {
-	l.step(eventLifeStop)
-	l.applyDrain()
-	l.gate.StopRunning(gate.ReasonStopped)
+func (endWanted) apply(i *incarnation, _ time.Duration) {
+	i.step(eventStop)
+	i.applyDrain()
+	i.gate.StopRunning(gate.ReasonStopped)
 }
 
-func (e dumpWanted) apply(l *life, _ time.Duration) { e.reply <- l.dump() }
+func (e dumpWanted) apply(i *incarnation, _ time.Duration) { e.reply <- i.dump() }
