--- a/api/job/validate.go
+++ b/api/job/validate.go
@@ -11,9 +11,12 @@
 
 // Limits bound a submission. Zero fields are unlimited.
 type Limits struct {
-	Tasks        int
+	// Tasks is the number of tasks of a job.
+	Tasks int
+	// PayloadBytes is the size of one task's payload.
 	PayloadBytes int
-	Timeout      time.Duration
+	// Timeout is the longest time that a caller may name.
+	Timeout time.Duration
 }
 
 const (
--- a/internal/entry/httpapi/api.go
+++ b/internal/entry/httpapi/api.go
@@ -46,13 +46,16 @@
 
 // Change is a compare-and-set on one resource.
 type Change struct {
-	Kind       resource.Kind
-	Name       string
-	Spec       []byte
-	Delete     bool
-	Expected   uint64
+	Kind   resource.Kind
+	Name   string
+	Spec   []byte
+	Delete bool
+	// Expected is the revision of the last change; 0 is no such resource.
+	Expected uint64
+	// AnyVersion makes the change whatever the revision is.
 	AnyVersion bool
-	RequestID  string
+	// RequestID makes a repeated request the same change.
+	RequestID string
 }
 
 // Options are the settings of the interface.
--- a/internal/gate/action.go
+++ b/internal/gate/action.go
@@ -12,7 +12,8 @@
 
 // Key names a task.
 type Key struct {
-	Job  uint64
+	Job uint64
+	// Task is the index within the job.
 	Task uint32
 }
 
--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -54,9 +54,11 @@
 	// Seed of the random choices.
 	Seed uint64
 	// Zone of this entry; agents of it win ties.
-	Zone   string
+	Zone string
+	// Policy is the name of a placement policy.
 	Policy string
-	Order  string
+	// Order is the name of an order among waiting jobs.
+	Order string
 	// AgingPerTask is how much later a job must arrive per task that it has
 	// less, to be served after an earlier one.
 	AgingPerTask time.Duration
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,6 +15,7 @@
 
 // Agent is what the configuration and the sessions say about one agent.
 type Agent struct {
+	// Incarnation tells runs of the agent apart.
 	Incarnation uint64
 	Name        string
 	Zone        string
@@ -49,20 +50,23 @@
 	Job     uint64
 	Team    string
 	Service string
-	Tasks   int
-	// Bytes is the size of the payloads.
+	// Tasks is the number of tasks.
+	Tasks int
+	// Bytes is the size of all payloads.
 	Bytes int64
 	// DeclaredMs is the sum of the declared run times; 0 when not declared.
 	DeclaredMs uint64
-	Accepted   time.Time
+	// Accepted is when the job was accepted; orders go by it.
+	Accepted time.Time
 	// Deadline is when the caller no longer wants the answer; zero is never.
 	Deadline time.Time
 }
 
 // Assignment binds one task to one agent incarnation.
 type Assignment struct {
-	Job   uint64
-	Task  uint32
+	Job  uint64
+	Task uint32
+	// Agent is an incarnation.
 	Agent uint64
 	// Key goes with the task: agents start the smallest key first.
 	Key uint64
@@ -85,6 +89,7 @@
 
 // Demand is what to tell one agent.
 type Demand struct {
+	// Agent is an incarnation.
 	Agent  uint64
 	Demand *wirepb.Demand
 }
--- a/internal/placement/recall.go
+++ b/internal/placement/recall.go
@@ -7,6 +7,7 @@
 
 // Recall asks one queued task back from an agent.
 type Recall struct {
+	// Agent is an incarnation.
 	Agent uint64
 	Job   uint64
 	Task  uint32
