Events of charts are named alike; the new owner of a group is its successor

Cause: ev in two packages and event in the others; heir is no term of the field. Change: names, and a comment on draining entries, which get no group. No behaviour changes. Conclusion: tests of owner, placement and ledger pass.

--- a/internal/ledger/instances.go
+++ b/internal/ledger/instances.go
@@ -144,17 +144,18 @@
 		if g.Owner != owner {
 			continue
 		}
-		heir := l.heir(zone)
-		if heir == owner {
+		successor := l.successor(zone)
+		if successor == owner {
 			continue
 		}
-		l.putGroup(index, &wirepb.Group{Group: group, Owner: heir, Epoch: g.Epoch + 1})
+		l.putGroup(index, &wirepb.Group{Group: group, Owner: successor, Epoch: g.Epoch + 1})
 	}
 }
 
-// heir chooses the entry that takes a group: in the zone if there is one, with
-// the fewest open jobs and then the smallest number. 0 when none is left.
-func (l *Ledger) heir(zone string) uint64 {
+// successor chooses the entry that takes a group: in the zone if there is one,
+// with the fewest open jobs and then the smallest number. 0 when every live
+// entry drains or none is left.
+func (l *Ledger) successor(zone string) uint64 {
 	var candidates []*wirepb.Instance
 	for _, i := range l.procs.instances {
 		if l.procs.liveEntry(i.Incarnation) && !i.Draining {
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -239,7 +239,7 @@
 		assert.Assert(t, past == nil || g.Owner == past.Owner || g.Epoch > past.Epoch, "epochs grow")
 		m.groups[group] = g
 		assert.Assert(t, g.Owner == 0 || m.whole.procs.live(g.Owner), "group %d of ended owner %d", group, g.Owner)
-		assert.Assert(t, g.Owner != 0 || m.whole.heir("") == 0, "group %d without an owner", group)
+		assert.Assert(t, g.Owner != 0 || m.whole.successor("") == 0, "group %d without an owner", group)
 	}
 	for job, group := range m.open {
 		assert.Assert(t, m.whole.Group(group) != nil, "open job %d without a group", job)
--- a/internal/owner/agents.go
+++ b/internal/owner/agents.go
@@ -142,7 +142,7 @@
 		Agent: t.agent, Job: j.id, Task: index,
 		Outcome: wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN, Reason: ReasonAgentLeft,
 	})
-	j.step(t, evNotRun)
+	j.step(t, eventNotRun)
 	o.taskNotRun(j, t, index)
 }
 
@@ -152,7 +152,7 @@
 	if t.agent != 0 {
 		o.fx.TaskEnded(TaskEnd{Agent: t.agent, Job: j.id, Task: index, Reason: ReasonAgentLost})
 	}
-	j.step(t, evLost)
+	j.step(t, eventLost)
 	j.started = true
 	o.fail(j, failure{reason: ReasonAgentLost, task: index}, now)
 	o.settle(j)
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -30,11 +30,11 @@
 	jobFailing  = jobChart.State("failing")
 	jobEnded    = jobChart.State("ended")
 
-	evInherit = jobChart.Event("inherit")
-	evClaimed = jobChart.Event("claimed")
-	evFail    = jobChart.Event("fail")
-	evSettle  = jobChart.Event("settle")
-	evClose   = jobChart.Event("close")
+	eventInherit = jobChart.Event("inherit")
+	eventClaimed = jobChart.Event("claimed")
+	eventFail    = jobChart.Event("fail")
+	eventSettle  = jobChart.Event("settle")
+	eventClose   = jobChart.Event("close")
 )
 
 // job is one job of a group.
@@ -89,7 +89,7 @@
 // fail decides that the job fails: what waits never runs, what agents hold is
 // cancelled. The answer follows when it is final.
 func (o *Owner) fail(j *job, f failure, now time.Time) {
-	if !j.on(evFail) {
+	if !j.on(eventFail) {
 		return
 	}
 	j.failure = f
@@ -109,7 +109,7 @@
 	t := &j.tasks[index]
 	switch {
 	case t.state == taskWaiting:
-		t.on(evDrop)
+		t.on(eventDrop)
 	case t.atAgent():
 		o.cancelTask(j, index)
 	}
@@ -138,7 +138,7 @@
 }
 
 func (o *Owner) answer(j *job, a *wirepb.JobAnswer) {
-	j.on(evSettle)
+	j.on(eventSettle)
 	if a.Complete {
 		o.stats.Completed++
 		o.fx.Withdraw(j.id)
@@ -175,7 +175,7 @@
 // closeIfDone lets agents forget a job whose completion is durable and of
 // which they hold nothing any more.
 func (o *Owner) closeIfDone(j *job) {
-	if !j.recorded || j.held > 0 || !j.on(evClose) {
+	if !j.recorded || j.held > 0 || !j.on(eventClose) {
 		return
 	}
 	delete(o.jobs, j.id)
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -131,9 +131,9 @@
 
 func (o *Owner) inherit(g *group, in Inherited) {
 	j := o.add(g, in.Record, in.Deadline)
-	j.on(evInherit)
+	j.on(eventInherit)
 	for i := range j.tasks {
-		j.step(&j.tasks[i], evTaskInherit)
+		j.step(&j.tasks[i], eventTaskInherit)
 	}
 	o.stats.Inherited++
 }
@@ -215,7 +215,7 @@
 			o.taskLost(j, t, uint32(i), now)
 			continue
 		}
-		j.step(t, evAbsent)
+		j.step(t, eventAbsent)
 	}
 	o.resume(j)
 }
@@ -229,14 +229,14 @@
 			waiting = append(waiting, uint32(i))
 		}
 	}
-	if j.on(evClaimed) {
+	if j.on(eventClaimed) {
 		if len(waiting) > 0 {
 			o.fx.Place(Placeable{Job: j.id, Spec: j.spec, Deadline: j.deadline, Tasks: waiting})
 		}
 		return
 	}
 	for _, i := range waiting {
-		j.step(&j.tasks[i], evDrop)
+		j.step(&j.tasks[i], eventDrop)
 	}
 	o.settle(j)
 }
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -16,20 +16,20 @@
 	taskQueued  = taskChart.State("queued")
 	taskStarted = taskChart.State("started")
 
-	evTaskInherit = taskChart.Event("inherit")
-	evSend        = taskChart.Event("send")
-	evDrop        = taskChart.Event("drop")
-	evAbsent      = taskChart.Event("absent")
-	evLost        = taskChart.Event("lost")
-	evNotRun      = taskChart.Event("not_run")
+	eventTaskInherit = taskChart.Event("inherit")
+	eventSend        = taskChart.Event("send")
+	eventDrop        = taskChart.Event("drop")
+	eventAbsent      = taskChart.Event("absent")
+	eventLost        = taskChart.Event("lost")
+	eventNotRun      = taskChart.Event("not_run")
 
-	// evByOutcome is the event of each outcome that an agent reports.
-	evByOutcome = map[wirepb.TaskOutcome]statechart.Event{
+	// eventByOutcome is the event of each outcome that an agent reports.
+	eventByOutcome = map[wirepb.TaskOutcome]statechart.Event{
 		wirepb.TaskOutcome_TASK_OUTCOME_QUEUED:  taskChart.Event("queued"),
 		wirepb.TaskOutcome_TASK_OUTCOME_STARTED: taskChart.Event("started"),
 		wirepb.TaskOutcome_TASK_OUTCOME_DONE:    taskChart.Event("done"),
 		wirepb.TaskOutcome_TASK_OUTCOME_FAILED:  taskChart.Event("failed"),
-		wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN: evNotRun,
+		wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN: eventNotRun,
 	}
 )
 
@@ -96,7 +96,7 @@
 		return false
 	}
 	t := &j.tasks[index]
-	if !o.up(agent) || !j.step(t, evSend) {
+	if !o.up(agent) || !j.step(t, eventSend) {
 		return false
 	}
 	t.agent = agent
@@ -149,7 +149,7 @@
 		j.touch(agent)
 		return
 	}
-	event, ok := evByOutcome[u.Outcome]
+	event, ok := eventByOutcome[u.Outcome]
 	if !ok || !j.believes(t, agent, u) || !taskChart.Can(t.state, event) {
 		o.stats.StaleUpdates++
 		return
@@ -253,7 +253,7 @@
 	}
 	// A claiming job places all its waiting tasks once it is claimed.
 	if j.state != jobClaiming {
-		j.step(t, evDrop)
+		j.step(t, eventDrop)
 	}
 	o.settle(j)
 }
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -13,9 +13,9 @@
 	trickling    = outlierChart.State("trickle")
 	returning    = outlierChart.State("returning")
 
-	evEject   = outlierChart.Event("eject")
-	evPass    = outlierChart.Event("pass")
-	evRecover = outlierChart.Event("recover")
+	eventEject   = outlierChart.Event("eject")
+	eventPass    = outlierChart.Event("pass")
+	eventRecover = outlierChart.Event("recover")
 )
 
 const (
@@ -193,7 +193,7 @@
 		return
 	}
 	a.pool.ejected--
-	a.move(evPass)
+	a.move(eventPass)
 	h.allowed, h.successes = 1, 0
 	h.streak = 0
 	h.spent, h.done = 0, 0
@@ -209,7 +209,7 @@
 	h.allowed++
 	h.successes = 0
 	if h.allowed >= d.policy.limit(a) {
-		a.move(evRecover)
+		a.move(eventRecover)
 		h.pause = 0
 	}
 }
@@ -231,7 +231,7 @@
 	if !a.pool.mayEject() {
 		return
 	}
-	a.move(evEject)
+	a.move(eventEject)
 	a.pool.ejected++
 	h := &a.health
 	h.good, h.goodRuns = 0, 0
