--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
-	apijob "endivewing/api/job"
+	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	apijob "endivewing/api/job"
 	"endivewing/charts"
 	"endivewing/internal/statechart"
 )
@@ -18,6 +20,9 @@
 	ReasonAgentLost  = apijob.ReasonAgentLost
 	ReasonCancelled  = apijob.ReasonCancelled
 	ReasonDeadline   = apijob.ReasonDeadline
+	// ReasonAnswerTooLarge: all tasks ran, but their results together can't be
+	// recorded.
+	ReasonAnswerTooLarge = apijob.ReasonAnswerTooLarge
 	// ReasonAgentLeft is the reason of a task that an agent had not started
 	// when it left cleanly.
 	ReasonAgentLeft = "agent_left"
@@ -30,11 +35,11 @@
 	jobFailing  = jobChart.State("failing")
 	jobEnded    = jobChart.State("ended")
 
-	evInherit = jobChart.Event("inherit")
-	evClaimed = jobChart.Event("claimed")
-	evFail    = jobChart.Event("fail")
-	evSettle  = jobChart.Event("settle")
-	evClose   = jobChart.Event("close")
+	eventInherit = jobChart.Event("inherit")
+	eventClaimed = jobChart.Event("claimed")
+	eventFail    = jobChart.Event("fail")
+	eventSettle  = jobChart.Event("settle")
+	eventClose   = jobChart.Event("close")
 )
 
 // job is one job of a group.
@@ -89,7 +94,7 @@
 // fail decides that the job fails: what waits never runs, what agents hold is
 // cancelled. The answer follows when it is final.
 func (o *Owner) fail(j *job, f failure, now time.Time) {
-	if !j.on(evFail) {
+	if !j.on(eventFail) {
 		return
 	}
 	j.failure = f
@@ -109,7 +114,7 @@
 	t := &j.tasks[index]
 	switch {
 	case t.state == taskWaiting:
-		t.on(evDrop)
+		t.on(eventDrop)
 	case t.atAgent():
 		o.cancelTask(j, index)
 	}
@@ -133,15 +138,15 @@
 			o.answer(j, j.failedAnswer())
 		}
 	case j.done == len(j.tasks):
-		o.answer(j, j.completeAnswer())
+		o.fx.Withdraw(j.id)
+		o.answer(j, j.endedAnswer())
 	}
 }
 
 func (o *Owner) answer(j *job, a *wirepb.JobAnswer) {
-	j.on(evSettle)
+	j.on(eventSettle)
 	if a.Complete {
 		o.stats.Completed++
-		o.fx.Withdraw(j.id)
 	} else {
 		o.stats.Failed++
 	}
@@ -152,6 +157,19 @@
 	o.batches.complete(j, a)
 }
 
+// endedAnswer is the answer of a job whose tasks all have results. One that is
+// too large to be made durable fails the job: it could not be given again.
+func (j *job) endedAnswer() *wirepb.JobAnswer {
+	a := j.completeAnswer()
+	if size := proto.Size(a); size > maxAnswerBytes {
+		return &wirepb.JobAnswer{
+			Reason: ReasonAnswerTooLarge,
+			Detail: fmt.Sprintf("%d bytes, the limit is %d", size, maxAnswerBytes),
+		}
+	}
+	return a
+}
+
 // completeAnswer assembles the results in the order of the tasks.
 func (j *job) completeAnswer() *wirepb.JobAnswer {
 	results := make([][]byte, len(j.tasks))
@@ -175,7 +193,7 @@
 // closeIfDone lets agents forget a job whose completion is durable and of
 // which they hold nothing any more.
 func (o *Owner) closeIfDone(j *job) {
-	if !j.recorded || j.held > 0 || !j.on(evClose) {
+	if !j.recorded || j.held > 0 || !j.on(eventClose) {
 		return
 	}
 	delete(o.jobs, j.id)
