--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -27,9 +27,7 @@
 
 func TestTaskRunsOnceThroughLossOfItsSession(t *testing.T) {
 	f := newFixture(t, 2)
-	f.minion.Freeze()
-	f.start(1, 1, "x")
-	f.until("start", func() bool { return f.minion.Running() == 1 })
+	f.startFrozen()
 	f.session.Close()
 	f.connect()
 	f.start(1, 1, "x")
@@ -66,9 +64,7 @@
 
 func TestStopWithUnsafeResultsIsNotClean(t *testing.T) {
 	f := newFixture(t, 1)
-	f.minion.Freeze()
-	f.start(1, 1, "x")
-	f.until("start", func() bool { return f.minion.Running() == 1 })
+	f.startFrozen()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	assert.NilError(t, f.agent.Stop(ctx))
@@ -79,9 +75,7 @@
 
 func TestNewIncarnationKnowsNothingOfTheOld(t *testing.T) {
 	f := newFixture(t, 1)
-	f.minion.Freeze()
-	f.start(1, 1, "x")
-	f.until("start", func() bool { return f.minion.Running() == 1 })
+	f.startFrozen()
 	old := f.agent.Incarnation()
 	f.control.End(old)
 	f.until("new incarnation", func() bool { return f.agent.Incarnation() > old && f.listed() != nil })
@@ -99,9 +93,7 @@
 
 func TestMinionDiesAndReturns(t *testing.T) {
 	f := newFixture(t, 1)
-	f.minion.Freeze()
-	f.start(1, 1, "x")
-	f.until("start", func() bool { return f.minion.Running() == 1 })
+	f.startFrozen()
 	address := f.minion.Address()
 	f.minion.Stop()
 	f.wantUpdate(1, failed, "minion_lost")
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -195,6 +195,13 @@
 	return u
 }
 
+// startFrozen starts task 1 at a minion that doesn't answer until its Release.
+func (f *fixture) startFrozen() {
+	f.minion.Freeze()
+	f.start(1, 1, "x")
+	f.until("start", func() bool { return f.minion.Running() == 1 })
+}
+
 func (f *fixture) start(task, attempt uint32, payload string) {
 	group := f.entry.Incarnation()
 	f.send(&wirepb.Envelope{Body: &wirepb.Envelope_StartTask{StartTask: &wirepb.StartTask{
