--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -59,20 +59,23 @@
 }
 
 func (l *Ledger) newJob(index uint64, r *wirepb.AcceptRequest) *job {
+	j := jobOf(r.Spec)
+	j.number, j.group, j.token, j.digest = index, r.Owner, r.Token, r.Digest
+	j.taskCount = uint32(len(r.Spec.Tasks))
+	j.state = jobChart.Initial()
+	j.acceptedMs = l.clock
+	return j
+}
+
+// jobOf returns a job with what its submission says.
+func jobOf(s *wirepb.JobSpec) *job {
 	return &job{
-		number:     index,
-		group:      r.Owner,
-		token:      r.Token,
-		team:       unique.Make(r.Spec.Team),
-		submission: r.Spec.Submission,
-		service:    unique.Make(r.Spec.Service),
-		digest:     r.Digest,
-		timeoutMs:  r.Spec.TimeoutMs,
-		unrepeated: r.Spec.Unrepeatable,
-		taskCount:  uint32(len(r.Spec.Tasks)),
-		state:      jobChart.Initial(),
-		tasks:      r.Spec.Tasks,
-		acceptedMs: l.clock,
+		team:       unique.Make(s.Team),
+		submission: s.Submission,
+		service:    unique.Make(s.Service),
+		timeoutMs:  s.TimeoutMs,
+		unrepeated: s.Unrepeatable,
+		tasks:      s.Tasks,
 	}
 }
 
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"slices"
-	"unique"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -241,24 +240,12 @@
 	if r.Spec == nil {
 		return eris.Wrap(ErrSnapshotDamaged, "job without a submission")
 	}
-	j := &job{
-		number:     r.Job,
-		group:      r.Group,
-		token:      r.Token,
-		team:       unique.Make(r.Spec.Team),
-		submission: r.Spec.Submission,
-		service:    unique.Make(r.Spec.Service),
-		digest:     r.Digest,
-		timeoutMs:  r.Spec.TimeoutMs,
-		unrepeated: r.Spec.Unrepeatable,
-		taskCount:  r.Spec.TaskCount,
-		state:      chartState(r.State),
-		tasks:      r.Spec.Tasks,
-		acceptedMs: r.AcceptedUnixMs,
-		endedMs:    r.EndedUnixMs,
-		endIndex:   r.EndIndex,
-		endEpoch:   r.EndEpoch,
-	}
+	j := jobOf(r.Spec)
+	j.number, j.group, j.token, j.digest = r.Job, r.Group, r.Token, r.Digest
+	j.taskCount = r.Spec.TaskCount
+	j.state = chartState(r.State)
+	j.acceptedMs, j.endedMs = r.AcceptedUnixMs, r.EndedUnixMs
+	j.endIndex, j.endEpoch = r.EndIndex, r.EndEpoch
 	if r.Answer != nil {
 		j.answer = encodeAnswer(r.Answer)
 	}
