One wait that a context can cut short

Cause: agent, entry and load each had one. Ruled out: controlclient's two, which are under work by others.

--- a/internal/agent/minion.go
+++ b/internal/agent/minion.go
@@ -18,6 +18,7 @@
 
 	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/gate"
+	"endivewing/internal/sleep"
 )
 
 // Headers of a request to the minion, in canonical form.
@@ -177,17 +178,8 @@
 			_ = conn.Close()
 			return true
 		}
-		wait(ctx, pause/2+rand.N(pause/2))
+		sleep.For(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, probeMost)
 	}
 	return false
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -10,6 +10,7 @@
 	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/controlclient"
 	"endivewing/internal/placement"
+	"endivewing/internal/sleep"
 )
 
 // submissionKey names a submission.
@@ -190,12 +191,7 @@
 // pause waits a jittered time that grows with the attempts.
 func pause(ctx context.Context, attempt int) {
 	most := min(retryLeast<<min(attempt, 10), retryMost)
-	timer := time.NewTimer(retryLeast + rand.N(most))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	sleep.For(ctx, retryLeast+rand.N(most))
 }
 
 // accepted is the outcome of an accept request.
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -11,6 +11,7 @@
 	wirepb "endivewing/api/endivewing/v1"
 	apijob "endivewing/api/job"
 	"endivewing/internal/controlclient"
+	"endivewing/internal/sleep"
 )
 
 const (
@@ -64,7 +65,7 @@
 		if reply.kind != submitAgain {
 			return p.submitted(w, spec, digest, reply)
 		}
-		if !sleep(w.read, againPause) {
+		if !sleep.For(w.read, againPause) {
 			return nil, unknownSubmission()
 		}
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -13,6 +13,7 @@
 	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/controlclient"
 	"endivewing/internal/entry/httpapi"
+	"endivewing/internal/sleep"
 )
 
 // Process is a running entry.
@@ -177,7 +178,7 @@
 		return nil
 	}
 	p.follower.Drain()
-	sleep(ctx, p.opts.DrainDelay)
+	sleep.For(ctx, p.opts.DrainDelay)
 	p.loop.post(refuse{})
 	clean := p.finishJobs(ctx)
 	if !clean {
@@ -226,27 +227,12 @@
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < stopReserve {
 			return false
 		}
-		if !sleep(ctx, stopPoll) {
+		if !sleep.For(ctx, stopPoll) {
 			return false
 		}
 	}
 }
 
-// sleep waits; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // refuse makes the loop take no new jobs.
 type refuse struct{}
 
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"endivewing/api/job"
+	"endivewing/internal/sleep"
 )
 
 const (
@@ -79,7 +80,7 @@
 		if r.complete || !again {
 			break
 		}
-		if !sleep(ctx, max(wait, jitter(pause))) {
+		if !sleep.For(ctx, max(wait, jitter(pause))) {
 			break
 		}
 		pause = min(2*pause, retryMax)
@@ -183,15 +184,3 @@
 }
 
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-// sleep waits and tells whether the context is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"endivewing/internal/sleep"
 )
 
 const (
@@ -28,7 +30,7 @@
 	}
 	results := submitAll(ctx, o, jobs)
 	if len(o.Metrics) > 0 {
-		sleep(ctx, settleTime)
+		sleep.For(ctx, settleTime)
 	}
 	after, err := observe(ctx, o)
 	if err != nil {
@@ -78,7 +80,7 @@
 	results := make([]result, len(jobs))
 	var wg sync.WaitGroup
 	for i := range jobs {
-		if !sleep(ctx, time.Until(c.start.Add(jobs[i].Arrival))) {
+		if !sleep.For(ctx, time.Until(c.start.Add(jobs[i].Arrival))) {
 			results[i].reason = reasonLost
 			continue
 		}
