--- a/internal/owner/batches.go
+++ b/internal/owner/batches.go
@@ -85,20 +85,20 @@
 // recalls are asked anew by the query that follows the next session; what an
 // agent is not told to forget falls under the floor of a later message.
 func (b *batches) dropAgent(agent uint64) {
-	drop := func(to target) bool { return to.agent == agent }
-	maps.DeleteFunc(b.cancels, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
-	maps.DeleteFunc(b.recalls, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
-	maps.DeleteFunc(b.forgets, func(to target, _ []uint64) bool { return drop(to) })
+	b.drop(func(to target) bool { return to.agent == agent })
 }
 
 func (b *batches) dropGroup(group uint64) {
-	drop := func(to target) bool { return to.group == group }
-	maps.DeleteFunc(b.cancels, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
-	maps.DeleteFunc(b.recalls, func(to target, _ []*wirepb.TaskRef) bool { return drop(to) })
-	maps.DeleteFunc(b.forgets, func(to target, _ []uint64) bool { return drop(to) })
+	b.drop(func(to target) bool { return to.group == group })
 	delete(b.completions, group)
 }
 
+func (b *batches) drop(match func(target) bool) {
+	maps.DeleteFunc(b.cancels, func(to target, _ []*wirepb.TaskRef) bool { return match(to) })
+	maps.DeleteFunc(b.recalls, func(to target, _ []*wirepb.TaskRef) bool { return match(to) })
+	maps.DeleteFunc(b.forgets, func(to target, _ []uint64) bool { return match(to) })
+}
+
 func (j *job) ref(index uint32) *wirepb.TaskRef {
 	return &wirepb.TaskRef{Job: j.id, Task: index, Attempt: j.tasks[index].attempt}
 }
