--- a/internal/keys/keystest/keystest.go
+++ b/internal/keys/keystest/keystest.go
@@ -17,8 +17,8 @@
 	"endivewing/internal/keys"
 )
 
-// life is how long a certificate is good for, before and after now.
-const life = time.Hour
+// validity is how long a certificate is good for, before and after now.
+const validity = time.Hour
 
 // Authority signs certificates.
 type Authority struct {
@@ -42,8 +42,8 @@
 	now := time.Now()
 	return &x509.Certificate{
 		SerialNumber: big.NewInt(serial),
-		NotBefore:    now.Add(-life),
-		NotAfter:     now.Add(life),
+		NotBefore:    now.Add(-validity),
+		NotAfter:     now.Add(validity),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,10 +41,10 @@
 func Start(ctx context.Context, s *config.Settings, log logr.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log}
 	n.metrics = observe.NewMetrics(map[string]string{"cluster": s.Cluster, "process": s.Name, "zone": s.Zone})
-	life, cut := context.WithCancel(context.WithoutCancel(ctx))
+	lifetime, cut := context.WithCancel(context.WithoutCancel(ctx))
 	n.cut = cut
 	giveUp := context.AfterFunc(ctx, cut)
-	if err := n.start(life); err != nil {
+	if err := n.start(lifetime); err != nil {
 		n.Stop(context.WithoutCancel(ctx))
 		return nil, err
 	}
