--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -182,14 +182,8 @@
 		}
 		o.Flush(w.now)
 		for _, a := range agents {
-			cancels := 0
-			for _, e := range w.links[o][a.incarnation].toAgent {
-				if e.GetCancelTasks() != nil {
-					cancels++
-				}
-			}
-			if cancels > 1 {
-				t.Fatalf("%d cancel messages to one agent", cancels)
+			if n := w.links[o][a.incarnation].cancels(); n > 1 {
+				t.Fatalf("%d cancel messages to one agent", n)
 			}
 		}
 		// The agents get all of it before any task of theirs starts.
@@ -199,10 +193,26 @@
 		for len(o.records) > 0 {
 			w.commit(o)
 		}
-		for n := range w.jobs {
-			if d := w.durable[n]; d == nil || !d.NotRun || d.Reason != ReasonCancelled {
-				t.Fatalf("job %d: %v", n, d)
-			}
-		}
+		w.wantAllCancelled()
 	})
 }
+
+// cancels is the number of cancel messages on their way to the agent.
+func (l *link) cancels() int {
+	n := 0
+	for _, e := range l.toAgent {
+		if e.GetCancelTasks() != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// wantAllCancelled holds that every job ended as not run, because cancelled.
+func (w *world) wantAllCancelled() {
+	for n := range w.jobs {
+		if d := w.durable[n]; d == nil || !d.NotRun || d.Reason != ReasonCancelled {
+			w.t.Fatalf("job %d: %v", n, d)
+		}
+	}
+}
