--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -51,7 +51,7 @@
 		if int(on) >= laneCount || s.lanes[on] != nil {
 			return eris.New("wire: bad lane")
 		}
-		s.lanes[on] = newLane(s, conn)
+		s.lanes[on] = newLane(s, on, conn)
 	}
 	return nil
 }
--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -15,11 +15,14 @@
 	wirepb "endivewing/api/endivewing/v1"
 )
 
-const readBufferBytes = 64 << 10
+// readBufferBytes is the size of each lane's read buffer. A larger frame is
+// read past it.
+var readBufferBytes = [laneCount]int{LaneTraffic: 16 << 10, LaneUrgent: 2 << 10}
 
 // lane is one ordered stream of a session with its send queue.
 type lane struct {
 	s    *Session
+	on   Lane
 	conn net.Conn
 
 	mu     sync.Mutex
@@ -30,8 +33,8 @@
 	shutup bool
 }
 
-func newLane(s *Session, conn net.Conn) *lane {
-	l := &lane{s: s, conn: conn}
+func newLane(s *Session, on Lane, conn net.Conn) *lane {
+	l := &lane{s: s, on: on, conn: conn}
 	l.wake = sync.NewCond(&l.mu)
 	return l
 }
@@ -142,7 +145,7 @@
 // readLoop delivers received messages until the session ends.
 func (l *lane) readLoop() {
 	defer l.s.Close()
-	r := bufio.NewReaderSize(&stampingReader{s: l.s, r: l.conn}, readBufferBytes)
+	r := bufio.NewReaderSize(&stampingReader{s: l.s, r: l.conn}, readBufferBytes[l.on])
 	for {
 		frame, err := readFrame(r)
 		if err != nil {
