--- a/internal/agent/incarnation.go
+++ b/internal/agent/incarnation.go
@@ -244,7 +244,8 @@
 	i.cancels[s.Key] = cancel
 	var budget time.Duration
 	if s.Deadline != 0 {
-		budget = s.Deadline - i.now()
+		// A budget that is used up must not read as no limit.
+		budget = max(s.Deadline-i.now(), time.Millisecond)
 	}
 	i.workers.Add(1)
 	go func() {
--- a/internal/agent/minion.go
+++ b/internal/agent/minion.go
@@ -111,11 +111,8 @@
 	}
 	r.Header[headerJob] = []string{strconv.FormatUint(t.Job, 10)}
 	r.Header[headerTask] = []string{strconv.FormatUint(uint64(t.Task), 10)}
-	if t.BudgetMs > 0 {
-		// A budget that is used up must not read as no limit.
-		left := max(budget.Milliseconds(), 1)
-		r.Header[headerBudgetMS] = []string{strconv.FormatInt(left, 10)}
-	}
+	if budget > 0 {
+		r.Header[headerBudgetMS] = []string{strconv.FormatInt(budget.Milliseconds(), 10)}
 	}
 	return r, nil
 }
