--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -36,6 +36,12 @@
 	refused *job.Error
 	// err is set when the caller gave up without any word.
 	err error
+	// notRunUntil is when the first try was sent of which the caller doesn't
+	// know that it did not run, in Unix nanoseconds: all before it, if any, were
+	// refused as not run. Nothing may start earlier.
+	notRunUntil int64
+	// doubtful: there was such a try.
+	doubtful bool
 }
 
 // triesOfACaller bounds how often a caller comes back with the same ID.
@@ -87,7 +93,7 @@
 	}
 	for try := range triesOfACaller {
 		entry := entries[(first+try)%len(entries)]
-		j, err := entry.Submit(context.Background(), c.submission, 5*time.Second)
+		j, err := c.submit(entry, 5*time.Second)
 		c.refused, c.err = nil, nil
 		if err == nil && j.State != job.Open {
 			c.answer = j
@@ -105,10 +111,21 @@
 	}
 }
 
+// submit tries once and notes whether the try is known not to have run.
+func (c *caller) submit(entry *apiclient.Client, wait time.Duration) (*job.Job, error) {
+	if !c.doubtful {
+		c.notRunUntil = time.Now().UnixNano()
+	}
+	j, err := entry.Submit(context.Background(), c.submission, wait)
+	var refused *job.Error
+	c.doubtful = c.doubtful || !errors.As(err, &refused) || !refused.NotRun
+	return j, err
+}
+
 // submitAndCancel submits without waiting and cancels through another entry.
 // Both may fail; insist then learns what became of the job.
 func (c *caller) submitAndCancel(entries []*apiclient.Client, first int) {
-	j, err := entries[first%len(entries)].Submit(context.Background(), c.submission, 0)
+	j, err := c.submit(entries[first%len(entries)], 0)
 	if err != nil {
 		return
 	}
--- a/scenarios/judge_test.go
+++ b/scenarios/judge_test.go
@@ -9,12 +9,13 @@
 	"endivewing/internal/standin"
 )
 
-// starts counts the starts of each payload, by its hash, over all minions.
-// Payloads are unique, so a task that starts twice under any job number shows.
-type starts map[string]int
+// starts are the times of all starts of each payload, by its hash, over all
+// minions, in Unix nanoseconds. Payloads are unique, so a task that starts twice
+// under any job number shows.
+type starts map[string][]int64
 
 func readStarts(records []string) (starts, error) {
-	counted := starts{}
+	found := starts{}
 	for _, path := range records {
 		lines, err := standin.ReadRecord(path)
 		if err != nil {
@@ -22,11 +23,11 @@
 		}
 		for _, line := range lines {
 			if line.Event == standin.EventStart {
-				counted[line.Payload]++
+				found[line.Payload] = append(found[line.Payload], line.UnixNS)
 			}
 		}
 	}
-	return counted, nil
+	return found, nil
 }
 
 func hashOf(payload []byte) string {
@@ -42,22 +43,38 @@
 		return nil, err
 	}
 	var breaches []string
-	for payload, n := range started {
-		if n > 1 {
+	for payload, times := range started {
+		if n := len(times); n > 1 {
 			breaches = append(breaches, fmt.Sprintf("payload %.12s started %d times", payload, n))
 		}
 	}
 	for _, c := range callers {
+		breaches = append(breaches, c.judgeRefusals(started)...)
 		breaches = append(breaches, c.judge(started)...)
 	}
 	return breaches, nil
 }
 
+// judgeRefusals holds refusals that said "not run" against starts before the
+// caller came back.
+func (c *caller) judgeRefusals(started starts) []string {
+	var breaches []string
+	for i := range c.submission.Tasks {
+		for _, at := range started[hashOf(c.submission.Tasks[i].Bytes())] {
+			if at < c.notRunUntil {
+				breaches = append(breaches, fmt.Sprintf("%s: task %d started though all tries so far were refused as not run",
+					c.submission.SubmissionID, i))
+			}
+		}
+	}
+	return breaches
+}
+
 func (c *caller) judge(started starts) []string {
 	id := c.submission.SubmissionID
 	ran := 0
 	for i := range c.submission.Tasks {
-		ran += started[hashOf(c.submission.Tasks[i].Bytes())]
+		ran += len(started[hashOf(c.submission.Tasks[i].Bytes())])
 	}
 	switch {
 	case c.err != nil:
@@ -100,7 +117,7 @@
 		if want := standin.Result(payload); string(r.Payload) != string(want) {
 			breaches = append(breaches, fmt.Sprintf("%s: task %d answered %q, want %q", id, i, r.Payload, want))
 		}
-		if n := started[hashOf(payload)]; n != 1 {
+		if n := len(started[hashOf(payload)]); n != 1 {
 			breaches = append(breaches, fmt.Sprintf("%s: task %d has a result and %d starts", id, i, n))
 		}
 	}
--- a/scenarios/operators_test.go
+++ b/scenarios/operators_test.go
@@ -208,7 +208,9 @@
 		_, text, err := readCounter(ctx, c)
 		cancel()
 		version, ok := resource.ParseVersion(text)
-		if err != nil || !ok {
+		// No version means that there is no counter, and nobody deletes it.
+		gone := err == nil && text == "" && newest > 0
+		if !gone && (err != nil || !ok) {
 			continue
 		}
 		w.mu.Lock()
