--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -256,15 +256,21 @@
 	return nil
 }
 
-// eventually repeats a check until it passes or the hang guard ends it.
+// eventually repeats a check until it passes or the hang guard ends it; the error
+// then has what the check said before.
 func eventually(check func(ctx context.Context) error) error {
 	ctx, stop := context.WithTimeout(context.Background(), hangGuard)
 	defer stop()
+	var last error
 	for {
 		err := check(ctx)
-		if err == nil || ctx.Err() != nil {
-			return err
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Join(last, err)
 		}
+		last = err
 		time.Sleep(50 * time.Millisecond)
 	}
 }
