--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -105,10 +105,19 @@
 	return defaults
 }
 
-// cmdFleet starts a deployment: fleet control=3 entry=2 agent=3 slots=8.
+// cmdFleet starts a deployment: fleet control=3 entry=2 agent=3 slots=8. With
+// failing=N, minion N fails all its tasks; with slow=N, minion N takes ten times
+// as long.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
-	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8})
+	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0})
 	f := stageOf(ts).fleet
+	f.minionFlags = map[int][]string{}
+	if i := n["failing"]; i > 0 {
+		f.minionFlags[i] = append(f.minionFlags[i], "--fail-ratio", "1")
+	}
+	if i := n["slow"]; i > 0 {
+		f.minionFlags[i] = append(f.minionFlags[i], "--time-factor", "10")
+	}
 	err := f.launch(size{control: n["control"], entry: n["entry"], agent: n["agent"], slots: n["slots"]})
 	if err != nil {
 		ts.Fatalf("%v", err)
