Script: strangers get no session, operators' paths ask for the token

Cause: mutual TLS and the token were shown by unit tests only. Change: a fleet whose processes have keys of one authority; sessions without keys and with those of another authority are refused at a control member and an agent; jobs run as ever. Planted: every chain trusted; the script failed on the keys of another authority.

--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"endivewing/internal/apiclient"
+	"endivewing/internal/keys/keystest"
 )
 
 // size is how many processes of each role a fleet has.
@@ -28,6 +29,10 @@
 	// direct leaves the relays in front of entries, agents and minions out, for
 	// measurements.
 	direct bool
+	// authority signs the keys of the processes; nil runs them without.
+	authority *keystest.Authority
+	// token is the operators' token; empty asks for none.
+	token string
 	// entryLines are added to the settings of each entry.
 	entryLines string
 	// minionFlags are added to the command lines of minions, by number.
@@ -216,7 +221,7 @@
 }
 
 func (f *fleet) client(name string) *apiclient.Client {
-	return &apiclient.Client{Base: "http://" + f.link(anyone, name, "entry").address(), HTTP: callerHTTP}
+	return &apiclient.Client{Base: "http://" + f.link(anyone, name, "entry").address(), Token: f.token, HTTP: callerHTTP}
 }
 
 // callerHTTP is the callers' pool; a caller gives an entry up after a while.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -48,6 +48,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"fleet":     cmdFleet,
+			"strangers": cmdStrangers,
 			"load":      cmdLoad,
 			"join-load": cmdJoinLoad,
 			"judge":     cmdJudge,
@@ -109,8 +110,13 @@
 // failing=N, minion N fails all its tasks; with slow=N, minion N takes ten times
 // as long.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
-	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0})
+	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0, "keys": 0})
 	f := stageOf(ts).fleet
+	if n["keys"] > 0 {
+		if err := f.useKeys(); err != nil {
+			ts.Fatalf("%v", err)
+		}
+	}
 	f.minionFlags = map[int][]string{}
 	if i := n["failing"]; i > 0 {
 		f.minionFlags[i] = append(f.minionFlags[i], "--fail-ratio", "1")
--- a/scenarios/settings_test.go
+++ b/scenarios/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 )
 
@@ -12,9 +14,25 @@
 zone: %s
 roles: [%s]
 stop_timeout: 30s
-tls: {insecure_loopback: true}
+tls: %s
 log: {level: debug}
-`, name, zone, role)
+`, name, zone, role, f.keySettings(name))
+}
+
+// keySettings issues keys for a process of a fleet that has an authority.
+func (f *fleet) keySettings(name string) string {
+	if f.authority == nil {
+		return "{insecure_loopback: true}"
+	}
+	dir := filepath.Join(f.dir, name+".keys")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		panic(err)
+	}
+	files, err := f.authority.Issue(dir)
+	if err != nil {
+		panic(err)
+	}
+	return fmt.Sprintf("{cert: %s, key: %s, ca: %s}", files.Cert, files.Key, files.CA)
 }
 
 // zoneOf spreads processes of a role over three zones.
