--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -70,6 +70,7 @@
 
 func (l callerLoad) submission(random *rand.Rand, id string) *job.Submission {
 	s := &job.Submission{SubmissionID: id, Team: "school", Service: "default", TimeoutMs: 60000}
+	s.Unrepeatable = random.IntN(2) == 0
 	for t := range 1 + random.IntN(l.tasks) {
 		p := standin.Payload{
 			SleepMS: float64(random.IntN(l.sleepMS + 1)),
