Metric names carry the role once

Cause: the node's scope and each role's own both added the role, so that names read endivewing_agent_agent_queued. Change: the node names the role; the page and its test follow.

--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -21,8 +21,7 @@
 	heldBytes int
 }
 
-func newMetrics(scope tally.Scope) *metrics {
-	s := scope.SubScope("agent")
+func newMetrics(s tally.Scope) *metrics {
 	return &metrics{
 		started:    s.Counter("tasks_started"),
 		done:       s.Counter("tasks_done"),
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -69,7 +69,7 @@
 	l.waits.init()
 	l.disks.init(p.opts.ID, p.id.Disk)
 	l.snapshots.last = applied
-	scope := p.opts.Scope.SubScope("control")
+	scope := p.opts.Scope
 	l.metrics = loopMetrics{
 		applied:     scope.Counter("records_applied"),
 		syncs:       scope.Counter("disk_syncs"),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -17,8 +17,7 @@
 	staleUpdates, sessions tally.Gauge
 }
 
-func newMetrics(scope tally.Scope) metrics {
-	s := scope.SubScope("entry")
+func newMetrics(s tally.Scope) metrics {
 	return metrics{
 		scope:        s,
 		jobs:         s.Counter("jobs_accepted"),
