--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -42,6 +42,8 @@
 	notRunUntil int64
 	// doubtful: there was such a try.
 	doubtful bool
+	// refusals counts the tries that were refused as not run.
+	refusals int
 }
 
 // triesOfACaller bounds how often a caller comes back with the same ID.
@@ -119,7 +121,11 @@
 	}
 	j, err := entry.Submit(context.Background(), c.submission, wait)
 	var refused *job.Error
-	c.doubtful = c.doubtful || !errors.As(err, &refused) || !refused.NotRun
+	if errors.As(err, &refused) && refused.NotRun {
+		c.refusals++
+	} else {
+		c.doubtful = true
+	}
 	return j, err
 }
 
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -33,6 +33,8 @@
 	authority *keystest.Authority
 	// token is the operators' token; empty asks for none.
 	token string
+	// maxWaitMS is the estimated wait above which entries refuse a job.
+	maxWaitMS int
 	// entryLines are added to the settings of each entry.
 	entryLines string
 	// minionFlags are added to the command lines of minions, by number.
@@ -59,8 +61,11 @@
 // anyone is the source of links that are not told apart.
 const anyone = "*"
 
+// patientMS makes entries queue rather than refuse.
+const patientMS = 60_000
+
 func newFleet(dir string) *fleet {
-	return &fleet{dir: dir, nodes: map[string]*process{}, links: map[linkKey]*relay{}, serving: map[linkKey]string{}}
+	return &fleet{dir: dir, nodes: map[string]*process{}, links: map[linkKey]*relay{}, serving: map[linkKey]string{}, maxWaitMS: patientMS}
 }
 
 // link returns the relay for a key, making it on first use.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -110,8 +110,9 @@
 // failing=N, minion N fails all its tasks; with slow=N, minion N takes ten times
 // as long.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
-	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0, "keys": 0})
+	n := numbers(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0, "keys": 0, "max_wait_ms": patientMS})
 	f := stageOf(ts).fleet
+	f.maxWaitMS = n["max_wait_ms"]
 	if n["keys"] > 0 {
 		if err := f.useKeys(); err != nil {
 			ts.Fatalf("%v", err)
@@ -167,10 +168,12 @@
 // summary counts the last words.
 func summary(callers []*caller) string {
 	counts := map[string]int{}
+	refusals := 0
 	for _, c := range callers {
 		counts[c.word()]++
+		refusals += c.refusals
 	}
-	return fmt.Sprint(counts)
+	return fmt.Sprintf("%v, %d tries refused as not run", counts, refusals)
 }
 
 // word is the caller's last word: complete, failed:reason, refused:code or none.
--- a/scenarios/settings_test.go
+++ b/scenarios/settings_test.go
@@ -91,6 +91,6 @@
 	return f.commonSettings(name, "entry", zoneOf(i)) + f.controlAddresses(name) + fmt.Sprintf(`entry:
   listen: 127.0.0.1:0
   advertise: %q
-  max_wait: 60s
-%s`, f.reach(anyone, name, "entry"), f.entryLines)
+  max_wait: %dms
+%s`, f.reach(anyone, name, "entry"), f.maxWaitMS, f.entryLines)
 }
