--- a/scenarios/bench_test.go
+++ b/scenarios/bench_test.go
@@ -25,6 +25,17 @@
 // and up to 390, run times around 200 ms.
 var exponential = load.Options{Duration: 25 * time.Second, Warmup: 3 * time.Second, Load: 0.7, RunMean: 200 * time.Millisecond, Seed: 1}
 
+// oneEntry is a fleet for tasks without work.
+var oneEntry = size{control: 3, entry: 1, agent: 10, slots: 8}
+
+// noOp is a load of jobs of 100 tasks without work.
+func noOp(jobsPerSecond float64) load.Options {
+	return load.Options{
+		Duration: 10 * time.Second, Warmup: 2 * time.Second, Seed: 1,
+		JobsPerSecond: jobsPerSecond, TasksMean: 100, TasksMax: 100, Sizes: load.SizesFixed,
+	}
+}
+
 var benchCases = []benchCase{
 	{name: "default", size: usual, load: exponential},
 	{name: "least-arrival", size: usual, entry: "  policy: least\n  order: arrival\n", load: exponential},
@@ -36,9 +47,8 @@
 		Bursts: []load.Burst{{At: 2 * time.Second, Length: 10 * time.Second, Factor: 14.3}},
 		Teams:  []load.Team{{Name: "large", Share: 39}, {Name: "small", Share: 1}},
 	}},
-	{name: "no-op", size: size{control: 3, entry: 1, agent: 10, slots: 8}, load: load.Options{
-		Duration: 10 * time.Second, Warmup: 2 * time.Second, JobsPerSecond: 200, TasksMean: 100, TasksMax: 100, Sizes: load.SizesFixed, Seed: 1,
-	}},
+	{name: "no-op", size: oneEntry, load: noOp(200)},
+	{name: "no-op-24k", size: oneEntry, load: noOp(240)},
 }
 
 // BenchmarkFleet loads separate processes and prints a table for each case:
