Read-through: messages are sized once, one way to wait, to default, to open keys

Cause, found by reading the whole as a newcomer: - Each message's size was worked out when it was queued and again when it was framed. It is now kept beside the message. Ruled out: merging the generated code's and the charts' like shapes, and the doubled shapes of protobuf sources; they are declarations. Every check is kept; one test passes the new type of the frame function.

--- a/internal/cli/member.go
+++ b/internal/cli/member.go
@@ -12,7 +12,7 @@
 	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/config"
 	"endivewing/internal/controlclient"
-	"endivewing/internal/keys"
+	"endivewing/internal/node"
 )
 
 // memberCommand speaks with the control members themselves, so that it also
@@ -38,7 +38,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	secured, err := node.SessionKeys(s)
+	if err != nil {
+		return nil, nil, err
+	}
 	opts := controlclient.Options{
+		TLS:   secured,
 		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "operator", Name: "member", Cluster: s.Cluster} },
 		Log:   logr.Discard(),
 	}
@@ -47,13 +52,6 @@
 			opts.Addresses = append(opts.Addresses, m.Address)
 		}
 	}
-	if s.TLS.Cert != "" {
-		keeper, err := keys.Open(keys.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
-		if err != nil {
-			return nil, nil, err
-		}
-		opts.TLS = keeper.Config()
-	}
 	return controlclient.New(opts), s, nil
 }
 
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -6,6 +6,7 @@
 package control
 
 import (
+	"cmp"
 	"crypto/tls"
 	"errors"
 	"time"
@@ -101,27 +102,20 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Lease, DefaultLease)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.Remember, DefaultRemember)
-	setDefault(&o.Tick, DefaultTick)
-	setDefault(&o.HeartbeatTicks, DefaultHeartbeatTicks)
-	setDefault(&o.ElectionTicks, DefaultElectionTicks)
-	setDefault(&o.SnapshotEntries, snapshotCount)
-	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
-	setDefault(&o.RetainEntries, DefaultRetainEntries)
+	o.Lease = cmp.Or(o.Lease, DefaultLease)
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.Remember = cmp.Or(o.Remember, DefaultRemember)
+	o.Tick = cmp.Or(o.Tick, DefaultTick)
+	o.HeartbeatTicks = cmp.Or(o.HeartbeatTicks, DefaultHeartbeatTicks)
+	o.ElectionTicks = cmp.Or(o.ElectionTicks, DefaultElectionTicks)
+	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, snapshotCount)
+	o.SnapshotBytes = cmp.Or(o.SnapshotBytes, DefaultSnapshotBytes)
+	o.RetainEntries = cmp.Or(o.RetainEntries, DefaultRetainEntries)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // check returns all that is wrong with the options together.
 func (o *Options) check() error {
 	var findings []error
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/sleep"
 	"endivewing/internal/wire"
 )
 
@@ -193,12 +194,5 @@
 	if end, ok := ctx.Deadline(); ok && time.Until(end) < wait+attemptLeast {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, wait)
 }
--- a/internal/controlclient/follow.go
+++ b/internal/controlclient/follow.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/sleep"
 )
 
 const (
@@ -245,11 +246,4 @@
 	}
 }
 
-func pause(ctx context.Context) {
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(followPause))))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+func pause(ctx context.Context) { sleep.For(ctx, rand.N(followPause)) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,17 +62,22 @@
 	return nil
 }
 
-func (n *Node) openKeys(context.Context) error {
-	if n.settings.TLS.Cert == "" {
-		return nil
+func (n *Node) openKeys(context.Context) (err error) {
+	n.tls, err = SessionKeys(n.settings)
+	return err
+}
+
+// SessionKeys reads the keys that the settings name and returns how sessions
+// are secured with them; nil when they name none.
+func SessionKeys(s *config.Settings) (*tls.Config, error) {
+	if s.TLS.Cert == "" {
+		return nil, nil
 	}
-	files := keys.Files{Cert: n.settings.TLS.Cert, Key: n.settings.TLS.Key, CA: n.settings.TLS.CA}
-	keeper, err := keys.Open(files)
+	keeper, err := keys.Open(keys.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	n.tls = keeper.Config()
-	return nil
+	return keeper.Config(), nil
 }
 
 func (n *Node) startControl(ctx context.Context) (err error) {
--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -84,8 +84,8 @@
 	conn := s.lanes[LaneTraffic].conn
 	mine := s.opts.Hello()
 	mine.Version = Version
-	out := []*wirepb.Envelope{{Body: &wirepb.Envelope_Hello{Hello: mine}}}
-	buf, _, err := appendFrame(nil, out, s.meter)
+	out := newOutgoing(&wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: mine}})
+	buf, _, err := appendFrame(nil, []outgoing{out}, s.meter)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -27,10 +27,10 @@
 
 	mu     sync.Mutex
 	wake   *sync.Cond
-	queue  []*wirepb.Envelope
+	queue  []outgoing
 	queued int // bytes
 	beat   bool
-	shutup bool
+	closed bool
 }
 
 func newLane(s *Session, on Lane, conn net.Conn) *lane {
@@ -39,20 +39,28 @@
 	return l
 }
 
+// outgoing is a message with its size, which is counted once.
+type outgoing struct {
+	envelope *wirepb.Envelope
+	bytes    int
+}
+
+func newOutgoing(e *wirepb.Envelope) outgoing { return outgoing{envelope: e, bytes: proto.Size(e)} }
+
 // push queues a message for the writer.
 func (l *lane) push(e *wirepb.Envelope) error {
-	size := proto.Size(e)
+	o := newOutgoing(e)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.shutup {
+	if l.closed {
 		return ErrClosed
 	}
-	if l.queued+size > maxQueuedBytes {
+	if l.queued+o.bytes > maxQueuedBytes {
 		go l.s.Close()
 		return ErrQueueFull
 	}
-	l.queue = append(l.queue, e)
-	l.queued += size
+	l.queue = append(l.queue, o)
+	l.queued += o.bytes
 	l.wake.Signal()
 	return nil
 }
@@ -65,21 +73,22 @@
 	l.wake.Signal()
 }
 
-func (l *lane) shut() {
+// close ends the writer; what still waits is dropped.
+func (l *lane) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.shutup = true
+	l.closed = true
 	l.wake.Signal()
 }
 
 // take waits for messages and returns all that wait; ok is false at the end.
-func (l *lane) take() (batch []*wirepb.Envelope, ok bool) {
+func (l *lane) take() (batch []outgoing, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.queue) == 0 && !l.beat && !l.shutup {
+	for len(l.queue) == 0 && !l.beat && !l.closed {
 		l.wake.Wait()
 	}
-	if l.shutup {
+	if l.closed {
 		return nil, false
 	}
 	batch = l.queue
@@ -117,20 +126,19 @@
 
 // appendFrame appends one frame with the first messages of batch and returns
 // the rest.
-func appendFrame(buf []byte, batch []*wirepb.Envelope, m *meter) ([]byte, []*wirepb.Envelope, error) {
+func appendFrame(buf []byte, batch []outgoing, m *meter) ([]byte, []outgoing, error) {
 	start := len(buf)
 	buf = append(buf, make([]byte, lengthBytes)...)
-	var frame wirepb.Frame
+	frame := wirepb.Frame{Envelopes: make([]*wirepb.Envelope, 0, len(batch))}
 	size := 0
 	n := 0
 	for n < len(batch) && size < frameTargetBytes {
-		bytes := proto.Size(batch[n])
-		m.sent(batch[n], bytes)
-		size += bytes
+		m.sent(batch[n].envelope, batch[n].bytes)
+		frame.Envelopes = append(frame.Envelopes, batch[n].envelope)
+		size += batch[n].bytes
 		n++
 	}
-	frame.Envelopes = batch[:n]
-	buf, err := proto.MarshalOptions{UseCachedSize: false}.MarshalAppend(buf, &frame)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, &frame)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "marshal frame")
 	}
--- a/internal/wire/listener.go
+++ b/internal/wire/listener.go
@@ -66,7 +66,7 @@
 		s.Close()
 		return
 	}
-	s.start()
+	s.Start()
 }
 
 func (l *Listener) remember(s *Session) bool {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -52,7 +52,7 @@
 	return s, nil
 }
 
-// newSession runs the handshake on conn and starts the session's goroutines.
+// newSession runs the handshake on conn.
 func newSession(conn net.Conn, opts Options, client bool) (*Session, error) {
 	deadline := time.Now().Add(handshakeTimeout)
 	if err := conn.SetDeadline(deadline); err != nil {
@@ -80,8 +80,10 @@
 	return s, nil
 }
 
-// start begins to read and write; the handler may be called from now on.
-func (s *Session) start() {
+// Start begins to read, write and call the handler. A session from Dial does
+// none of it before, so that the caller can first put it where its handler
+// looks.
+func (s *Session) Start() {
 	for _, l := range s.lanes {
 		go l.writeLoop()
 		go l.readLoop()
@@ -89,10 +91,6 @@
 	go s.watchIdle()
 }
 
-// Start begins delivery to the handler. A session from Dial delivers nothing
-// before, so that the caller can first put it where its handler looks.
-func (s *Session) Start() { s.start() }
-
 // Peer is what the other side said about itself.
 func (s *Session) Peer() *wirepb.Hello { return s.peer }
 
@@ -139,7 +137,7 @@
 	s.closeOnce.Do(func() {
 		// Once the end can be seen, nothing more is taken for sending.
 		for _, l := range s.lanes {
-			l.shut()
+			l.close()
 		}
 		close(s.done)
 		_ = s.mux.Close()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -114,7 +114,7 @@
 
 func FuzzReadFrame(f *testing.F) {
 	m := newMeter(nil)
-	whole, _, err := appendFrame(nil, []*wirepb.Envelope{query(7)}, m)
+	whole, _, err := appendFrame(nil, []outgoing{newOutgoing(query(7))}, m)
 	assert.NilError(f, err)
 	f.Add(whole)
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
