--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,12 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
 
 	"endivewing/internal/config"
 	"endivewing/internal/node"
@@ -19,7 +25,13 @@
 	if err != nil {
 		return err
 	}
-	log, err := observe.NewLog(o.err, s.Log.Level)
+	target := o.err
+	if s.Log.Output == "stdout" {
+		target = o.out
+	}
+	writer := observe.NewAsyncWriter(target)
+	defer writer.Close()
+	log, err := observe.NewLog(writer, s.Log.Level)
 	if err != nil {
 		return err
 	}
@@ -30,11 +42,80 @@
 	if err := o.announce(n.Addresses()); err != nil {
 		return err
 	}
+	reload := watchSettings(ctx, c.Config)
+	for {
+		select {
+		case <-reload:
+			c.reload(n, log)
+		case <-ctx.Done():
+			n.Stop(context.WithoutCancel(ctx))
+			return nil
+		case <-n.Done():
+			return n.Err()
+		}
+	}
+}
+
+// reload reads the settings again; a file with findings changes nothing.
+func (c *serveCommand) reload(n *node.Node, log logr.Logger) {
+	s, err := config.LoadFile(c.Config)
+	if err != nil {
+		log.Error(err, "changed settings are not used")
+		return
+	}
+	n.Reload(s)
+}
+
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings tells when the settings file may have changed: on SIGHUP, and
+// when its time or size differ.
+func watchSettings(ctx context.Context, path string) <-chan struct{} {
+	changed := make(chan struct{}, 1)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hup)
+		ticker := time.NewTicker(settingsInterval)
+		defer ticker.Stop()
+		last := stamp(path)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+				last = stamp(path)
+				notify(changed)
+			case <-ticker.C:
+				if now := stamp(path); now != last {
+					last = now
+					notify(changed)
+				}
+			}
+		}
+	}()
+	return changed
+}
+
+func notify(changed chan<- struct{}) {
 	select {
-	case <-ctx.Done():
-		n.Stop(context.WithoutCancel(ctx))
-		return nil
-	case <-n.Done():
-		return n.Err()
+	case changed <- struct{}{}:
+	default: // one is on its way
+	}
+}
+
+// fileStamp tells versions of a file apart.
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+func stamp(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{}
 	}
+	return fileStamp{info.ModTime(), info.Size()}
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -29,11 +30,15 @@
 	if s.Has(RoleAgent) {
 		checkAgent(&s.Agent, add)
 	}
+	if s.fleet() {
+		checkFleet(s, add)
+	}
 	checkMembers(s, add)
 	checkTLS(s, add)
 	if s.Debug.Listen != "" {
 		address(s.Debug.Listen, "debug.listen", add)
 	}
+	oneOf(s.Log.Output, "log.output", []string{"stderr", "stdout"}, add)
 	oneOf(s.Log.Level, "log.level", []string{"debug", "info", "error"}, add)
 }
 
@@ -55,8 +60,65 @@
 		add("roles", "at least one role is needed: control, entry, agent")
 	}
 	for i, role := range s.Roles {
-		oneOf(role, fmt.Sprintf("roles[%d]", i), []string{RoleControl, RoleEntry, RoleAgent}, add)
+		oneOf(role, fmt.Sprintf("roles[%d]", i), knownRoles, add)
+	}
+	if s.fleet() && len(s.Roles) > 1 {
+		add("roles", "member, dispatcher and runner run alone")
+	}
+}
+
+var knownRoles = []string{RoleControl, RoleEntry, RoleAgent, RoleMember, RoleDispatcher, RoleRunner}
+
+// fleet tells that the process runs a role that finds the others from seeds.
+func (s *Settings) fleet() bool {
+	return s.Has(RoleMember) || s.Has(RoleDispatcher) || s.Has(RoleRunner)
+}
+
+func checkFleet(s *Settings, add report) {
+	f := &s.Fleet
+	if _, err := netip.ParseAddr(f.Address); err != nil {
+		add("fleet.address", "must be an IP number")
+	}
+	if f.SessionPort == 0 || f.SessionPort > 65535 {
+		add("fleet.session_port", "must be a port")
+	}
+	if len(f.Seeds) == 0 {
+		add("fleet.seeds", "at least one is needed")
+	}
+	for i, seed := range f.Seeds {
+		address(seed, fmt.Sprintf("fleet.seeds[%d]", i), add)
+	}
+	if s.Has(RoleMember) {
+		required(f.Data, "fleet.data", add)
+		address(f.Operators, "fleet.operators", add)
+		count(f.Voters, "fleet.voters", add)
+	}
+	if s.Has(RoleDispatcher) {
+		address(f.Callers, "fleet.callers", add)
+		address(f.Readiness, "fleet.readiness", add)
+	}
+	if s.Has(RoleRunner) {
+		address(f.Reports, "fleet.reports", add)
+		address(f.Minion, "fleet.minion", add)
+	}
+}
+
+// SessionAddress is where this process takes sessions.
+func (f *Fleet) SessionAddress() string { return f.sessionAt(f.Address) }
+
+func (f *Fleet) sessionAt(host string) string {
+	return net.JoinHostPort(host, strconv.FormatUint(f.SessionPort, 10))
+}
+
+// SeedSessions are the session addresses of the seeds' hosts.
+func (f *Fleet) SeedSessions() []string {
+	var all []string
+	for _, seed := range f.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			all = append(all, f.sessionAt(host))
+		}
 	}
+	return all
 }
 
 func checkMembers(s *Settings, add report) {
@@ -159,6 +221,9 @@
 		add("tls", "cert, key and ca go together")
 	case given == 3 && s.TLS.Insecure:
 		add("tls.insecure_loopback", "must not be set beside keys")
+	case given == 3 && s.TLS.Trusted, s.TLS.Insecure && s.TLS.Trusted:
+		add("tls.trusted_network", "must not be set beside keys or insecure_loopback")
+	case s.TLS.Trusted:
 	case given == 0 && !s.TLS.Insecure:
 		add("tls", "cert, key and ca are needed, or insecure_loopback on loopback addresses")
 	case s.TLS.Insecure:
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -9,8 +9,9 @@
 		Control:     defaultControl(),
 		Entry:       defaultEntry(),
 		Agent:       defaultAgent(),
+		Fleet:       Fleet{Voters: 3},
 		Debug:       Debug{Listen: "127.0.0.1:0"},
-		Log:         Log{Level: "info"},
+		Log:         Log{Level: "info", Output: "stderr"},
 	}
 }
 
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -14,6 +14,11 @@
 	RoleControl = "control"
 	RoleEntry   = "entry"
 	RoleAgent   = "agent"
+	// The roles of jobs that are not stored: a control member that finds its
+	// group by itself, a dispatcher, and a runner beside each minion.
+	RoleMember     = "member"
+	RoleDispatcher = "dispatcher"
+	RoleRunner     = "runner"
 )
 
 // Settings are the settings of one process.
@@ -21,15 +26,16 @@
 	Cluster     string   `yaml:"cluster" doc:"Name of the deployment; processes of another one are refused."`
 	Name        string   `yaml:"name" doc:"Name of this process, unique in the deployment."`
 	Zone        string   `yaml:"zone" doc:"Availability zone of the host."`
-	Roles       []string `yaml:"roles" doc:"Roles to run: control, entry, agent."`
+	Roles       []string `yaml:"roles" doc:"Roles to run: control, entry, agent; or one of member, dispatcher, runner."`
 	Members     []string `yaml:"control_addresses" doc:"Session addresses of the control members; entries and agents need them."`
 	StopTimeout Duration `yaml:"stop_timeout" doc:"How long a graceful stop may take before what is left is cut."`
 	Control     Control  `yaml:"control" doc:"Settings of the control role."`
 	Entry       Entry    `yaml:"entry" doc:"Settings of the entry role."`
 	Agent       Agent    `yaml:"agent" doc:"Settings of the agent role."`
+	Fleet       Fleet    `yaml:"fleet" doc:"Settings of the member, dispatcher and runner roles."`
 	TLS         TLS      `yaml:"tls" doc:"Keys for sessions between processes."`
 	Debug       Debug    `yaml:"debug" doc:"HTTP listener for state dump, metrics and health."`
-	Log         Log      `yaml:"log" doc:"Structured logs on standard error."`
+	Log         Log      `yaml:"log" doc:"Structured logs."`
 }
 
 // Control are the settings of the control role.
@@ -86,12 +92,28 @@
 	ResultBytes Bytes    `yaml:"result_bytes" doc:"Result bytes held until they are safe; above it starts are refused."`
 }
 
+// Fleet are the settings of the roles that find each other from a few seeds.
+type Fleet struct {
+	Address     string   `yaml:"address" doc:"IP number of this host."`
+	SessionPort uint64   `yaml:"session_port" doc:"Port for sessions, the same on every host."`
+	Seeds       []string `yaml:"seeds" doc:"Addresses of hosts of control members; only the IP number counts."`
+	FirstStart  bool     `yaml:"first_start" doc:"The deployment starts for the first time, with empty disks."`
+	Voters      int      `yaml:"voters" doc:"Control members that vote."`
+	Data        string   `yaml:"data" doc:"Folder of a control member."`
+	Callers     string   `yaml:"callers" doc:"HTTP address of a dispatcher for callers."`
+	Readiness   string   `yaml:"readiness" doc:"HTTP address of a dispatcher for the balancer."`
+	Operators   string   `yaml:"operators" doc:"HTTP address of a control member for operators."`
+	Reports     string   `yaml:"reports" doc:"HTTP address of a runner for its minion."`
+	Minion      string   `yaml:"minion" doc:"Address of the minion beside a runner."`
+}
+
 // TLS names the key files of a process. They are read again when they change.
 type TLS struct {
 	Cert     string `yaml:"cert" doc:"PEM certificate of this process."`
 	Key      string `yaml:"key" doc:"PEM key of this process."`
 	CA       string `yaml:"ca" doc:"PEM certificates that peers must be signed by."`
 	Insecure bool   `yaml:"insecure_loopback" doc:"Run without keys; only loopback addresses are then allowed."`
+	Trusted  bool   `yaml:"trusted_network" doc:"Run without keys on a network that only hosts of the deployment reach."`
 }
 
 // Debug are the settings of the listener for dumps and metrics.
@@ -101,7 +123,8 @@
 
 // Log are the settings of the logs.
 type Log struct {
-	Level string `yaml:"level" doc:"Least level that is written: debug, info, error."`
+	Level  string `yaml:"level" doc:"Least level that is written: debug, info, error."`
+	Output string `yaml:"output" doc:"Where logs go: stderr or stdout."`
 }
 
 // Duration is a time.Duration written like 5s or 250ms.
--- a/internal/control/identity.go
+++ b/internal/control/identity.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	diskfile "endivewing/internal/disk"
 	"endivewing/internal/quorum"
 )
 
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode identity")
 	}
-	return id, writeDurably(path, text)
+	return id, diskfile.WriteFile(path, text)
 }
 
 // membership is the first one, or none for a member that joined.
@@ -132,25 +133,3 @@
 	_ = proto.Unmarshal(m.Context, p)
 	return Peer{ID: m.ID, Name: p.Name, Address: p.Address, Zone: p.Zone}
 }
-
-// writeDurably puts a whole file in place and syncs it and its folder.
-func writeDurably(path string, text []byte) error {
-	temp := path + ".tmp"
-	f, err := os.Create(temp)
-	if err != nil {
-		return eris.Wrap(err, "create file")
-	}
-	_, err = f.Write(text)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err != nil {
-		return eris.Wrap(err, "write file")
-	}
-	if err := os.Rename(temp, path); err != nil {
-		return eris.Wrap(err, "rename file")
-	}
-	dir, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return eris.Wrap(err, "open folder")
-	}
-	return errors.Join(dir.Sync(), dir.Close())
-}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -42,6 +42,8 @@
 	disks     memberDisks
 	snapshots snapshotState
 	offered   *snapshotOffered
+	directory directory
+	healing   healing
 
 	// hard is a commit index that no sync has taken along yet.
 	hard     *wirepb.HardState
@@ -68,6 +70,8 @@
 	l.syncs.init()
 	l.waits.init()
 	l.disks.init(p.opts.ID, p.id.Disk)
+	l.directory.init()
+	l.healing.init()
 	l.snapshots.last = applied
 	scope := p.opts.Scope
 	l.metrics = loopMetrics{
@@ -99,6 +103,7 @@
 			l.finished = true
 		}
 		l.flush()
+		l.directory.publish(l, time.Now())
 	}
 	l.dropLeaderWork(reasonStopping)
 	return l.failure
@@ -215,6 +220,10 @@
 		}
 	}
 	result := l.state.Apply(e.Index, cmd)
+	if d := cmd.GetPutDocument().GetDocument(); d != nil {
+		l.directory.changed = true
+		l.opts.Log.Info("document applied", "version", d.Version, "held", result.Document.GetVersion(), "index", e.Index)
+	}
 	if cmd.GetRecordMember() != nil {
 		l.disks.learn(l.state)
 	}
@@ -260,6 +269,7 @@
 	l.endLeases(now)
 	l.expireJobs()
 	l.recordDisks()
+	l.heal(now)
 }
 
 // leads tells that this member leads and has applied all of earlier terms.
@@ -287,10 +297,13 @@
 func (l *loop) changedLeader(now quorum.Leadership) {
 	before := l.leadership
 	l.leadership = now
+	l.directory.changed = true
+	l.opts.Log.Info("leader changed", "leader", now.Leader, "term", now.Term, "self", now.Self)
 	if before.Self {
 		l.dropLeaderWork(reasonLeaderLost)
 	}
 	if now.Self {
+		l.healing.init() // silence counts from the start of the lead
 		l.opts.Log.Info("leading", "term", now.Term)
 	}
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -76,6 +76,7 @@
 // linkMembers takes in a new configuration.
 func (l *loop) linkMembers() {
 	l.members = l.readMembers()
+	l.directory.changed = true
 	l.p.peers.update(l.members)
 }
 
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -93,6 +93,10 @@
 	// little behind; fewer when they exceed retainBytes.
 	RetainEntries uint64
 
+	// Voters is the number of voters that the leader keeps by itself from the
+	// learners at hand; 0 leaves the membership to operators.
+	Voters int
+
 	TLS   *tls.Config
 	Log   logr.Logger
 	Scope tally.Scope
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -196,7 +196,10 @@
 
 func (p *Process) listen() error {
 	opts := p.wireOptions(p.onEnvelope)
-	opts.Closed = p.installs.drop
+	opts.Closed = func(s *wire.Session) {
+		p.installs.drop(s)
+		p.post(sessionEnded{s})
+	}
 	l, err := wire.Listen(p.opts.ListenAddress, opts)
 	if err != nil {
 		return err
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -139,6 +139,8 @@
 		return &wirepb.Envelope{Body: &wirepb.Envelope_AcceptResponse{AcceptResponse: r.Accept}}
 	case r.Complete != nil:
 		return &wirepb.Envelope{Body: &wirepb.Envelope_CompleteResponse{CompleteResponse: r.Complete}}
+	case r.Document != nil:
+		return &wirepb.Envelope{Body: &wirepb.Envelope_PutDocumentResponse{PutDocumentResponse: r.Document}}
 	case r.Apply != nil:
 		return &wirepb.Envelope{Body: &wirepb.Envelope_ApplyResponse{ApplyResponse: r.Apply}}
 	case r.Register != nil:
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -98,6 +98,8 @@
 		l.confirm(&jobRead{from: q.from, request: body.GetJobRequest})
 	case *wirepb.Envelope_ListOpenJobsRequest:
 		l.confirm(&openJobsRead{from: q.from, request: body.ListOpenJobsRequest})
+	case *wirepb.Envelope_GetDocumentRequest:
+		l.confirm(&documentRead{from: q.from})
 	case *wirepb.Envelope_MembershipRequest:
 		l.onMembership(q.from, body.MembershipRequest)
 	default:
@@ -123,6 +125,16 @@
 	r.from.reply(&wirepb.Envelope{Body: &wirepb.Envelope_ListOpenJobsResponse{ListOpenJobsResponse: response}})
 }
 
+// documentRead is a GetDocument request.
+type documentRead struct{ from caller }
+
+func (r *documentRead) refuse(l *loop) { l.notLeader(r.from) }
+
+func (r *documentRead) run(l *loop) {
+	response := &wirepb.GetDocumentResponse{Document: l.state.Document()}
+	r.from.reply(&wirepb.Envelope{Body: &wirepb.Envelope_GetDocumentResponse{GetDocumentResponse: response}})
+}
+
 // jobRead is a GetJob request.
 type jobRead struct {
 	from    caller
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -54,6 +54,10 @@
 		p.post(memberMessage{s, m})
 		return
 	}
+	if a := e.GetAnnounce(); a != nil {
+		p.post(announced{s, a})
+		return
+	}
 	from := caller{session: s, call: e.Call, lane: laneOf(e)}
 	if chunk := e.GetSnapshotChunk(); chunk != nil && fromMember {
 		p.installs.receive(from, chunk)
@@ -86,6 +90,8 @@
 		return &wirepb.Command{Body: &wirepb.Command_Complete{Complete: body.CompleteRequest}}
 	case *wirepb.Envelope_RegisterRequest:
 		return &wirepb.Command{Body: &wirepb.Command_Register{Register: body.RegisterRequest}}
+	case *wirepb.Envelope_PutDocumentRequest:
+		return &wirepb.Command{Body: &wirepb.Command_PutDocument{PutDocument: body.PutDocumentRequest}}
 	case *wirepb.Envelope_ApplyRequest:
 		return &wirepb.Command{Body: &wirepb.Command_Apply{Apply: body.ApplyRequest}}
 	case *wirepb.Envelope_LeaveRequest:
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -68,6 +68,9 @@
 	return c
 }
 
+// SetAddresses replaces the addresses of the members; at least one.
+func (c *Client) SetAddresses(addresses []string) { c.links.setAddresses(addresses) }
+
 // Close ends the session. Requests in flight end with an error.
 func (c *Client) Close() { c.links.close() }
 
--- a/internal/controlclient/links.go
+++ b/internal/controlclient/links.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// setAddresses replaces the members to try. At least one must be given.
+func (l *links) setAddresses(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opts.Addresses = addresses
+}
+
 // pick chooses the member to dial.
 func (l *links) pick() string {
 	if hint := l.hint; hint != "" {
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
@@ -21,3 +22,21 @@
 	err = d.Sync()
 	return errors.Join(err, d.Close())
 }
+
+// WriteFile puts a whole file in place and syncs it and its folder.
+func WriteFile(path string, text []byte) error {
+	temp := path + ".tmp"
+	f, err := os.Create(temp)
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+	_, err = f.Write(text)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err != nil {
+		return eris.Wrap(err, "write file")
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return eris.Wrap(err, "rename file")
+	}
+	return SyncDir(filepath.Dir(path))
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,314 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"endivewing/internal/runtable"
+)
+
+const (
+	// settleAfter is how long after its runner was lost a run may still be at
+	// work: the runner stops what a silent dispatcher ordered, and without the
+	// runner the lease ends.
+	settleAfter = 1800 * time.Millisecond
+	// patienceShare of the time until the objective is how long a job may wait
+	// with nothing begun before its caller is told to come back.
+	patienceShare = 0.25
+	// overdueFactor times the objective is when unfinished work is given up.
+	overdueFactor = 3
+	// skipRuns is added to a run number that a minion has seen before.
+	skipRuns = 16
+	// retryLeast and retryMost bound the time after which a refused job may
+	// come back.
+	retryLeast = time.Second
+	retryMost  = 5 * time.Second
+)
+
+// Dispatcher decides for one process. It is not safe for concurrent use.
+type Dispatcher struct {
+	zone    string
+	runners map[RunnerID]*runner
+	// order are the runners by ID, so that decisions repeat.
+	order []*runner
+	jobs  map[string]*openJob
+	// queue are the jobs with tasks to place, the most urgent first.
+	queue []*openJob
+	out   Output
+}
+
+// New returns a dispatcher in a zone.
+func New(zone string) *Dispatcher {
+	return &Dispatcher{zone: zone, runners: map[RunnerID]*runner{}, jobs: map[string]*openJob{}}
+}
+
+// Take returns what is to be done and forgets it.
+func (d *Dispatcher) Take() Output {
+	out := d.out
+	d.out = Output{}
+	return out
+}
+
+// Jobs is the number of jobs that are not answered.
+func (d *Dispatcher) Jobs() int { return len(d.jobs) }
+
+// Waiting is the number of jobs with tasks that wait for room.
+func (d *Dispatcher) Waiting() int { return len(d.queue) }
+
+// Runners is the number of runners that take new tasks.
+func (d *Dispatcher) Runners() int {
+	n := 0
+	for _, r := range d.order {
+		if r.Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// Unbegun counts the jobs of a queue of which no task has been placed.
+func (d *Dispatcher) Unbegun(queue string) int {
+	n := 0
+	for _, o := range d.jobs {
+		if o.Queue == queue && o.begun.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Submit takes a job in; an Answer ends it, at once when it is refused.
+func (d *Dispatcher) Submit(now time.Time, j *Job) {
+	if d.jobs[j.ID] != nil {
+		d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: ReasonDuplicate, RetryAfter: retryLeast})
+		return
+	}
+	o := newOpenJob(j)
+	if reason := d.impossible(o); reason != "" {
+		d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: reason, RetryAfter: retryMost})
+		return
+	}
+	d.jobs[j.ID] = o
+	d.enqueue(o)
+	d.place(now)
+}
+
+// impossible is the reason why no known minion can run a job, or "".
+func (d *Dispatcher) impossible(o *openJob) string {
+	known := slices.ContainsFunc(d.order, func(r *runner) bool { return r.Service == o.Service })
+	if !known {
+		return ReasonNoMinion
+	}
+	for i := range o.Steps {
+		fits := func(r *runner) bool { return r.serves(o.Service, &o.Steps[i]) }
+		if !slices.ContainsFunc(d.order, fits) {
+			return ReasonTooLarge
+		}
+	}
+	return ""
+}
+
+func (d *Dispatcher) enqueue(o *openJob) {
+	if slices.Contains(d.queue, o) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(d.queue, o, before)
+	d.queue = slices.Insert(d.queue, at, o)
+}
+
+// before orders waiting jobs: the one whose work has to begin first.
+func before(a, b *openJob) int {
+	if c := a.key.Compare(b.key); c != 0 {
+		return c
+	}
+	if a.ID < b.ID {
+		return -1
+	}
+	if a.ID > b.ID {
+		return 1
+	}
+	return 0
+}
+
+func (d *Dispatcher) dequeue(o *openJob) {
+	if at := slices.Index(d.queue, o); at >= 0 {
+		d.queue = slices.Delete(d.queue, at, at+1)
+	}
+}
+
+// Report takes a runner's room in.
+func (d *Dispatcher) Report(now time.Time, id RunnerID, room Room) {
+	r := d.runners[id]
+	if r == nil {
+		r = &runner{id: id}
+		d.runners[id] = r
+		d.order = append(d.order, r)
+		slices.SortFunc(d.order, func(a, b *runner) int { return int(a.id) - int(b.id) })
+	}
+	r.update(room)
+	d.place(now)
+}
+
+// RunnerLost notes the end of a runner's session. What ran there may still be
+// at work for a while.
+func (d *Dispatcher) RunnerLost(now time.Time, id RunnerID) {
+	delete(d.runners, id)
+	d.order = slices.DeleteFunc(d.order, func(r *runner) bool { return r.id == id })
+	for _, key := range slices.Sorted(maps.Keys(d.jobs)) {
+		o := d.jobs[key]
+		for _, tasks := range o.tasks {
+			for i := range tasks {
+				if t := &tasks[i]; t.state == placed && t.runner == id {
+					t.state = doubtful
+					t.until = now.Add(settleAfter)
+					o.lost++
+				}
+			}
+		}
+	}
+}
+
+// Ended takes the end of a run in.
+func (d *Dispatcher) Ended(now time.Time, id RunnerID, e TaskEnd) {
+	o := d.jobs[e.Job]
+	if r := d.runners[id]; r != nil {
+		r.outstanding = max(0, r.outstanding-1)
+	}
+	if o == nil {
+		return
+	}
+	t := o.find(id, e.Ref)
+	if t == nil {
+		return
+	}
+	step := int(e.Step)
+	switch e.Outcome {
+	case runtable.Done:
+		t.state = done
+		o.left[step]--
+		if o.complete() {
+			d.answer(now, o, Completed, "")
+			return
+		}
+	case runtable.Failed:
+		t.failures++
+		t.avoid = d.endpoint(id)
+		if t.failures >= max(o.MaxAttempts, 1) {
+			d.answer(now, o, Failed, ReasonAttempts)
+			return
+		}
+		o.again(step, t)
+	default:
+		if e.Outcome == runtable.NotRun {
+			o.unrun++
+		}
+		if e.Reason == runtable.ReasonOldRun {
+			t.run += skipRuns
+		}
+		if e.Outcome == runtable.Stopped || e.Reason == runtable.ReasonNoAnswer {
+			t.avoid = d.endpoint(id)
+		}
+		o.again(step, t)
+	}
+	if o.hungry() {
+		d.enqueue(o)
+	}
+	d.place(now)
+}
+
+func (d *Dispatcher) endpoint(id RunnerID) string {
+	if r := d.runners[id]; r != nil {
+		return r.Endpoint
+	}
+	return ""
+}
+
+// Cancel ends a job whose caller has left.
+func (d *Dispatcher) Cancel(now time.Time, id string) {
+	if o := d.jobs[id]; o != nil {
+		d.answer(now, o, Failed, ReasonCallerLeft)
+	}
+}
+
+// Abandon ends all jobs: their runners have stopped them meanwhile.
+func (d *Dispatcher) Abandon(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
+		d.answer(now, d.jobs[id], Failed, ReasonStalled)
+	}
+}
+
+// answer ends a job and stops what of it may be at work.
+func (d *Dispatcher) answer(now time.Time, o *openJob, result Result, reason string) {
+	delete(d.jobs, o.ID)
+	d.dequeue(o)
+	d.stopRuns(o)
+	a := Answer{Job: o.Job, Result: result, Reason: reason, Starts: o.starts, Lost: o.lost}
+	if !o.begun.IsZero() {
+		a.Waited = o.begun.Sub(o.Arrived)
+	} else {
+		a.Waited = now.Sub(o.Arrived)
+	}
+	if result == Refused {
+		a.RetryAfter = d.retryAfter(now)
+	}
+	d.out.Answers = append(d.out.Answers, a)
+}
+
+func (d *Dispatcher) stopRuns(o *openJob) {
+	at := map[RunnerID]bool{}
+	for _, tasks := range o.tasks {
+		for i := range tasks {
+			if t := &tasks[i]; t.state == placed && !at[t.runner] {
+				at[t.runner] = true
+				d.out.Stops = append(d.out.Stops, Stop{Runner: t.runner, Job: o.ID})
+			}
+		}
+	}
+}
+
+// retryAfter is when a refused caller may come back: later the more waits.
+func (d *Dispatcher) retryAfter(time.Time) time.Duration {
+	var backlog, capacity float64
+	for _, o := range d.queue {
+		for i, n := range o.waiting {
+			backlog += float64(n) * float64(o.Steps[i].Need.CPU) * o.Steps[i].Estimate.Seconds()
+		}
+	}
+	for _, r := range d.order {
+		capacity += float64(r.Capacity.CPU)
+	}
+	if capacity == 0 {
+		return retryMost
+	}
+	wait := time.Duration(backlog / capacity * float64(time.Second))
+	return min(max(wait, retryLeast), retryMost)
+}
+
+// Tick refuses what has waited too long and settles doubtful runs.
+func (d *Dispatcher) Tick(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
+		d.review(now, d.jobs[id])
+	}
+	d.place(now)
+}
+
+func (d *Dispatcher) review(now time.Time, o *openJob) {
+	for step, tasks := range o.tasks {
+		for i := range tasks {
+			if t := &tasks[i]; t.state == doubtful && !now.Before(t.until) {
+				o.again(step, t)
+				d.enqueue(o)
+			}
+		}
+	}
+	window := o.Objective.Sub(o.Arrived)
+	switch {
+	case !o.touched() && now.Sub(o.Arrived) > time.Duration(patienceShare*float64(window)):
+		d.answer(now, o, Refused, ReasonNoRoom)
+	case now.After(o.Arrived.Add(overdueFactor*window)) && !o.open():
+		d.answer(now, o, Failed, ReasonOverdue)
+	case now.After(o.Limit):
+		d.answer(now, o, Failed, ReasonOverdue)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/job.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"endivewing/internal/runtable"
+)
+
+type taskState uint8
+
+const (
+	// waiting for room, or for earlier steps.
+	waiting taskState = iota
+	// placed with a runner.
+	placed
+	// doubtful: its runner is lost; it may be at work until a time.
+	doubtful
+	done
+)
+
+// task is one task of an open job.
+type task struct {
+	state    taskState
+	run      uint32
+	runner   RunnerID
+	failures int
+	// until is when a doubtful run has surely ended.
+	until time.Time
+	// avoid is the minion where it failed last.
+	avoid string
+}
+
+// openJob is a job that is not answered.
+type openJob struct {
+	*Job
+	tasks [][]task
+	// left counts the tasks of each step that are not done.
+	left []int
+	// waiting counts the tasks of each step that wait.
+	waiting []int
+	// key is the latest time at which waiting work should begin.
+	key   time.Time
+	begun time.Time
+	// starts counts runs given to runners, unrun those of them that never ran,
+	// lost those whose end was not told.
+	starts, unrun, lost int
+}
+
+// touched tells whether a task has run or may have.
+func (o *openJob) touched() bool { return o.starts > o.unrun }
+
+func newOpenJob(j *Job) *openJob {
+	o := &openJob{Job: j, tasks: make([][]task, len(j.Steps)), left: make([]int, len(j.Steps)), waiting: make([]int, len(j.Steps))}
+	for i, s := range j.Steps {
+		o.tasks[i] = make([]task, s.Count)
+		o.left[i], o.waiting[i] = s.Count, s.Count
+	}
+	o.key = j.Objective.Add(-j.chain())
+	return o
+}
+
+// ready tells whether a step's earlier steps are done.
+func (o *openJob) ready(step int) bool {
+	for _, before := range o.Steps[step].After {
+		if o.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// hungry tells whether a task waits that could start.
+func (o *openJob) hungry() bool {
+	for i, n := range o.waiting {
+		if n > 0 && o.ready(i) {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *openJob) complete() bool {
+	for _, n := range o.left {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// open tells whether a run may be at work somewhere.
+func (o *openJob) open() bool {
+	for _, tasks := range o.tasks {
+		for i := range tasks {
+			if tasks[i].state == placed || tasks[i].state == doubtful {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// find returns the task of a run that its end is told of, or nil.
+func (o *openJob) find(runner RunnerID, ref runtable.Ref) *task {
+	if int(ref.Step) >= len(o.tasks) || int(ref.Index) >= len(o.tasks[ref.Step]) {
+		return nil
+	}
+	t := &o.tasks[ref.Step][ref.Index]
+	if t.state != placed || t.runner != runner || t.run != ref.Run {
+		return nil
+	}
+	return t
+}
+
+// again makes a task wait for another run.
+func (o *openJob) again(step int, t *task) {
+	t.state = waiting
+	o.waiting[step]++
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"time"
+
+	"endivewing/internal/runtable"
+)
+
+// place gives waiting tasks to runners, the most urgent job first. A job that
+// finds no room leaves none to less urgent ones that need as much.
+func (d *Dispatcher) place(now time.Time) {
+	for at := 0; at < len(d.queue); {
+		o := d.queue[at]
+		blocked := d.placeJob(now, o)
+		if !o.hungry() {
+			d.dequeue(o)
+			continue
+		}
+		if blocked {
+			return
+		}
+		at++
+	}
+}
+
+// placeJob places what it can of a job; blocked tells that room was missing.
+func (d *Dispatcher) placeJob(now time.Time, o *openJob) (blocked bool) {
+	for step := range o.Steps {
+		if o.waiting[step] == 0 || !o.ready(step) {
+			continue
+		}
+		blocked = d.placeStep(now, o, step) || blocked
+	}
+	return blocked
+}
+
+func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int) (blocked bool) {
+	batches := map[RunnerID]*Placement{}
+	var order []*Placement
+	for i := range o.tasks[step] {
+		t := &o.tasks[step][i]
+		if t.state != waiting {
+			continue
+		}
+		r := d.choose(now, o, step, t)
+		if r == nil {
+			blocked = true
+			break
+		}
+		d.give(now, o, step, t, r)
+		p := batches[r.id]
+		if p == nil {
+			p = &Placement{Runner: r.id, Job: o.Job, Step: step, Key: o.key}
+			batches[r.id] = p
+			order = append(order, p)
+		}
+		name := runtable.Name{Job: o.ID, Step: uint32(step), Index: uint32(i)}
+		p.Runs = append(p.Runs, runtable.Ref{Name: name, Run: t.run})
+	}
+	for _, p := range order {
+		d.out.Placements = append(d.out.Placements, *p)
+	}
+	return blocked
+}
+
+func (d *Dispatcher) give(now time.Time, o *openJob, step int, t *task, r *runner) {
+	t.state = placed
+	t.run++
+	t.runner = r.id
+	o.waiting[step]--
+	o.starts++
+	if o.begun.IsZero() {
+		o.begun = now
+	}
+	if r.Suspicion >= suspect {
+		r.probed = now
+	}
+	r.take(o.Steps[step].Need)
+}
+
+// choose returns the runner with room where a task is expected to end first.
+func (d *Dispatcher) choose(now time.Time, o *openJob, step int, t *task) *runner {
+	s := &o.Steps[step]
+	var best *runner
+	var least time.Duration
+	for _, r := range d.order {
+		if !r.serves(o.Service, s) || !s.Need.Fits(r.Free) || !r.open(now) {
+			continue
+		}
+		if s.Spread > 0 && o.tasksAt(step, r.id) >= s.Spread {
+			continue
+		}
+		cost := r.cost(s, d.zone)
+		if t.avoid != "" && t.avoid == r.Endpoint {
+			cost += suspicionCost
+		}
+		if best == nil || cost < least {
+			best, least = r, cost
+		}
+	}
+	return best
+}
+
+// tasksAt counts the tasks of a step at a runner.
+func (o *openJob) tasksAt(step int, id RunnerID) int {
+	n := 0
+	for i := range o.tasks[step] {
+		if t := &o.tasks[step][i]; t.state == placed && t.runner == id {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dispatcher/loop.go
@@ -0,0 +1,200 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/dispatch"
+	"endivewing/internal/runtable"
+	"endivewing/internal/steadytime"
+	"endivewing/internal/wire"
+)
+
+// event is one input of the loop.
+type event interface{ handle(l *loop, now time.Time) }
+
+// loop owns the decisions. Only its goroutine touches the fields.
+type loop struct {
+	p     *Process
+	core  *dispatch.Dispatcher
+	waits map[string]chan<- dispatch.Answer
+
+	sessions map[*wire.Session]*session
+	byID     map[dispatch.RunnerID]*session
+	lastID   dispatch.RunnerID
+	lastTick time.Duration
+
+	metrics loopMetrics
+}
+
+// session is a connected runner.
+type session struct {
+	wire       *wire.Session
+	id         dispatch.RunnerID
+	name, zone string
+	// stamp is the runner's clock at the time heard on the own one.
+	stamp int64
+	heard time.Duration
+}
+
+// stampNow is a time that the runner's clock has surely reached.
+func (s *session) stampNow(now time.Duration) int64 {
+	return s.stamp + (now - s.heard).Milliseconds()
+}
+
+type loopMetrics struct {
+	scope        tally.Scope
+	placed       tally.Counter
+	open, queued tally.Gauge
+}
+
+func newLoop(p *Process) *loop {
+	return &loop{
+		p:        p,
+		core:     dispatch.New(p.opts.Zone),
+		waits:    map[string]chan<- dispatch.Answer{},
+		sessions: map[*wire.Session]*session{},
+		byID:     map[dispatch.RunnerID]*session{},
+		lastTick: steadytime.Now(),
+		metrics: loopMetrics{
+			scope:  p.opts.Scope,
+			placed: p.opts.Scope.Counter("tasks_placed"),
+			open:   p.opts.Scope.Gauge("jobs_open"),
+			queued: p.opts.Scope.Gauge("jobs_waiting"),
+		},
+	}
+}
+
+func (l *loop) run() {
+	defer close(l.p.ended)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-l.p.events:
+			l.checkStall()
+			e.handle(l, time.Now())
+			l.drain()
+		case <-ticker.C:
+			l.tick()
+		case <-l.p.quit:
+			return
+		}
+		l.flush()
+	}
+}
+
+// drain takes the events that wait, so that they share their messages.
+func (l *loop) drain() {
+	for range eventQueue {
+		select {
+		case e := <-l.p.events:
+			e.handle(l, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) tick() {
+	l.checkStall()
+	l.lastTick = steadytime.Now()
+	l.core.Tick(time.Now())
+	l.metrics.open.Update(float64(l.core.Jobs()))
+	l.metrics.queued.Update(float64(l.core.Waiting()))
+}
+
+// checkStall gives all jobs up after a pause of the process.
+func (l *loop) checkStall() {
+	now := steadytime.Now()
+	if gap := now - l.lastTick; gap > stallAfter {
+		l.p.opts.Log.Info("process stood still", "for", gap.String(), "jobs", l.core.Jobs())
+		l.core.Abandon(time.Now())
+		l.lastTick = now
+	}
+}
+
+// flush sends what was decided.
+func (l *loop) flush() {
+	out := l.core.Take()
+	now := steadytime.Now()
+	for _, p := range out.Placements {
+		l.place(now, p)
+	}
+	for _, s := range out.Stops {
+		l.stop(s)
+	}
+	for _, a := range out.Answers {
+		l.answer(a)
+	}
+	l.p.runners.Store(int64(l.core.Runners()))
+}
+
+func (l *loop) place(now time.Duration, p dispatch.Placement) {
+	s := l.byID[p.Runner]
+	if s == nil {
+		return // its end is an event on its way
+	}
+	step := &p.Job.Steps[p.Step]
+	stamp := s.stampNow(now)
+	message := &wirepb.PlaceTasks{
+		Job:  p.Job.ID,
+		Step: uint32(p.Step),
+		Spec: p.Job.Spec,
+		Need: &wirepb.Need{
+			CpuMilli: uint32(step.Need.CPU), MemoryMb: uint32(step.Need.Memory), Gpus: uint32(step.Need.GPUs),
+		},
+		Tasks:      taskRuns(p.Runs),
+		Key:        stamp + time.Until(p.Key).Milliseconds(),
+		EstimateMs: uint32(step.Estimate.Milliseconds()),
+		WaitMs:     uint32(runnerWait.Milliseconds()),
+		StampMs:    stamp,
+	}
+	l.metrics.placed.Inc(int64(len(p.Runs)))
+	_ = s.wire.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: message}})
+}
+
+func taskRuns(refs []runtable.Ref) []*wirepb.TaskRun {
+	runs := make([]*wirepb.TaskRun, len(refs))
+	for i, ref := range refs {
+		runs[i] = &wirepb.TaskRun{Index: ref.Index, Run: ref.Run}
+	}
+	return runs
+}
+
+func (l *loop) stop(stop dispatch.Stop) {
+	s := l.byID[stop.Runner]
+	if s == nil {
+		return // the runner stops what was ordered on a session that ended
+	}
+	message := &wirepb.StopTasks{Job: stop.Job, Step: uint32(stop.Step), Tasks: taskRuns(stop.Runs)}
+	_ = s.wire.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_StopTasks{StopTasks: message}})
+}
+
+var resultWords = map[dispatch.Result]string{
+	dispatch.Completed: "completed", dispatch.Failed: "failed", dispatch.Refused: "refused",
+}
+
+// answer ends a job; what is out of the ordinary is logged.
+func (l *loop) answer(a dispatch.Answer) {
+	tags := map[string]string{"outcome": resultWords[a.Result], "reason": a.Reason}
+	l.metrics.scope.Tagged(tags).Counter("jobs").Inc(1)
+	now := time.Now()
+	late := now.After(a.Job.Objective)
+	if a.Result != dispatch.Completed || late {
+		l.p.opts.Log.Info("job answered", "job", a.Job.ID, "queue", a.Job.Queue, "outcome", resultWords[a.Result],
+			"reason", a.Reason, "took_ms", now.Sub(a.Job.Arrived).Milliseconds(), "waited_ms", a.Waited.Milliseconds(),
+			"objective_ms", a.Job.Objective.Sub(a.Job.Arrived).Milliseconds(), "starts", a.Starts, "lost", a.Lost,
+			"waiting_jobs", l.core.Waiting(), "runners", l.core.Runners())
+	}
+	answer := l.waits[a.Job.ID]
+	if a.Reason == dispatch.ReasonDuplicate {
+		return // answered by the event that brought it
+	}
+	delete(l.waits, a.Job.ID)
+	if answer != nil {
+		answer <- a
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/options.go
@@ -0,0 +1,57 @@
+// Package dispatcher is the process that takes jobs from callers, has their
+// tasks run by runners, and answers when a job has ended. Jobs live in its
+// memory only.
+//
+// One goroutine owns the decisions of package dispatch and takes typed events;
+// requests of callers wait for their answers in goroutines of their own.
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/desired"
+)
+
+// Role is the dispatcher's role in a hello and an announcement.
+const Role = "dispatcher"
+
+// ReasonStopping is the reason of a dispatcher that is about to end.
+const ReasonStopping = "stopping"
+
+const (
+	// tickInterval is how often waiting jobs are looked at.
+	tickInterval = 10 * time.Millisecond
+	// stallAfter is a pause of the process after which its jobs are given up:
+	// the runners have stopped their tasks, and callers may have gone elsewhere.
+	stallAfter = 900 * time.Millisecond
+	// runnerWait is how long tasks may wait at a runner for room.
+	runnerWait = 40 * time.Millisecond
+	// redialFirst and redialMost bound the pause between dials of a runner.
+	redialFirst = 30 * time.Millisecond
+	redialMost  = 400 * time.Millisecond
+	// forgetRunner is how long a runner that no control member lists is still
+	// dialed.
+	forgetRunner = 15 * time.Second
+
+	eventQueue = 2048
+)
+
+// Options are the settings of a dispatcher.
+type Options struct {
+	Cluster, Name, Zone string
+	// Seeds are session addresses of control members.
+	Seeds []string
+	// Decode reads the desired configuration as its author wrote it.
+	Decode func(body []byte) (*desired.Document, error)
+
+	Log   logr.Logger
+	Scope tally.Scope
+}
+
+func (o *Options) hello() *wirepb.Hello {
+	return &wirepb.Hello{Role: Role, Name: o.Name, Zone: o.Zone, Cluster: o.Cluster}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -23,6 +23,8 @@
 	KindAgent    = "agent"
 	KindGroup    = "group"
 	KindMember   = "member"
+	// KindDocument is the desired configuration as a whole, by its version.
+	KindDocument = "document"
 )
 
 // Reasons of faults.
@@ -62,6 +64,7 @@
 	Complete *wirepb.CompleteResponse
 	Register *wirepb.RegisterResponse
 	Apply    *wirepb.ApplyResponse
+	Document *wirepb.PutDocumentResponse
 	Fault    *Fault
 
 	// Ended are the jobs that ended with the record.
@@ -126,6 +129,8 @@
 		return l.setDraining(index, body.SetDraining.GetIncarnation())
 	case *wirepb.Command_RecordMember:
 		return l.recordMember(index, body.RecordMember)
+	case *wirepb.Command_PutDocument:
+		return l.putDocument(index, body.PutDocument.GetDocument())
 	default:
 		return invalid(reasonUnknownCommand)
 	}
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"endivewing/internal/config"
+	"endivewing/internal/dispatcher"
+	"endivewing/internal/formation"
+	"endivewing/internal/runner"
+	"endivewing/internal/sleep"
+	"endivewing/platform"
+)
+
+const (
+	// fleetHeaderTimeout bounds how long the header of a request may take.
+	fleetHeaderTimeout = 3 * time.Second
+	// fleetIdleTimeout is how long an idle connection is kept.
+	fleetIdleTimeout = 75 * time.Second
+	// leaveBalancer is how long a stopping dispatcher goes on taking work: the
+	// balancer asks once a second and believes the second miss.
+	leaveBalancer = 2600 * time.Millisecond
+	// stopMargin is what a stop keeps of its time to close what is left.
+	stopMargin = 500 * time.Millisecond
+)
+
+// fleet is the one role of a process that finds the others from seeds.
+type fleet struct {
+	member     *formation.Member
+	dispatcher *dispatcher.Process
+	runner     *runner.Process
+	servers    []*http.Server
+}
+
+func (n *Node) startFleet(ctx context.Context) error {
+	s := n.settings
+	switch {
+	case s.Has(config.RoleMember):
+		return n.startMember(ctx)
+	case s.Has(config.RoleDispatcher):
+		return n.startDispatcher()
+	case s.Has(config.RoleRunner):
+		return n.startRunner()
+	}
+	return nil
+}
+
+func (n *Node) startMember(ctx context.Context) (err error) {
+	s := n.settings
+	n.fleet.member, err = formation.Start(ctx, formation.Options{
+		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone,
+		Address: s.Fleet.SessionAddress(), Seeds: s.Fleet.SeedSessions(), FirstStart: s.Fleet.FirstStart,
+		DataDir: s.Fleet.Data, Voters: s.Fleet.Voters,
+		Log: n.log, Scope: n.metrics.Scope.SubScope(config.RoleMember),
+	})
+	if err != nil {
+		return eris.Wrap(err, "start member")
+	}
+	operator := &platform.Operator{Documents: n.fleet.member, Log: n.log}
+	return n.serve(s.Fleet.Operators, operator.Handler())
+}
+
+func (n *Node) startDispatcher() error {
+	s := n.settings
+	scope := n.metrics.Scope.SubScope(config.RoleDispatcher)
+	n.fleet.dispatcher = dispatcher.Start(dispatcher.Options{
+		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone, Seeds: s.Fleet.SeedSessions(),
+		Decode: platform.DecodeDocument,
+		Log:    n.log, Scope: scope,
+	})
+	front := &platform.Front{Dispatcher: n.fleet.dispatcher, Log: n.log, Scope: scope}
+	if err := n.serve(s.Fleet.Readiness, front.ReadyHandler()); err != nil {
+		return err
+	}
+	return n.serve(s.Fleet.Callers, front.Handler())
+}
+
+func (n *Node) startRunner() (err error) {
+	s := n.settings
+	n.fleet.runner, err = runner.Start(runner.Options{
+		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone,
+		ListenAddress: s.Fleet.SessionAddress(), Seeds: s.Fleet.SeedSessions(),
+		Minion: platform.NewMinion(s.Fleet.Minion), StopTimeout: s.StopTimeout.D() - stopMargin,
+		Log: n.log, Scope: n.metrics.Scope.SubScope(config.RoleRunner),
+	})
+	if err != nil {
+		return eris.Wrap(err, "start runner")
+	}
+	reports := &platform.Reports{Runner: n.fleet.runner, Log: n.log}
+	return n.serve(s.Fleet.Reports, reports.Handler())
+}
+
+// serve answers HTTP requests at an address until the node stops.
+func (n *Node) serve(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: fleetHeaderTimeout, IdleTimeout: fleetIdleTimeout}
+	n.fleet.servers = append(n.fleet.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error(err, "HTTP server ended", "address", address)
+		}
+	}()
+	return nil
+}
+
+// Reload takes changed settings in: only the seeds can change while a process
+// runs.
+func (n *Node) Reload(s *config.Settings) {
+	n.log.Info("settings read again", "seeds", s.Fleet.Seeds)
+	seeds := s.Fleet.SeedSessions()
+	switch {
+	case n.fleet.member != nil:
+		n.fleet.member.Reseed(seeds)
+	case n.fleet.dispatcher != nil:
+		n.fleet.dispatcher.Reseed(seeds)
+	case n.fleet.runner != nil:
+		n.fleet.runner.Reseed(seeds)
+	}
+}
+
+// stopFleet ends the role: a dispatcher first leaves the balancer, then
+// answers what it has, and tells those who still come that it takes nothing.
+func (n *Node) stopFleet(ctx context.Context) {
+	f := &n.fleet
+	if f.dispatcher != nil {
+		n.log.Info("dispatcher stopping")
+		f.dispatcher.Leave()
+		sleep.For(ctx, leaveBalancer)
+		f.dispatcher.Refuse()
+		answered, cancel := context.WithTimeout(ctx, time.Until(deadlineOf(ctx))-stopMargin)
+		f.dispatcher.Stop(answered)
+		cancel()
+	}
+	if f.runner != nil {
+		f.runner.Stop(ctx)
+	}
+	for _, server := range f.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			n.log.Info("HTTP connections cut", "error", err.Error())
+		}
+	}
+	if f.member != nil {
+		f.member.Stop(ctx)
+	}
+}
+
+// deadlineOf is when a context ends; now for one without an end.
+func deadlineOf(ctx context.Context) time.Time {
+	if end, ok := ctx.Deadline(); ok {
+		return end
+	}
+	return time.Now()
+}
+
+// dump adds the state of the role.
+func (f *fleet) dump(roles map[string]any) {
+	if f.member != nil {
+		roles[config.RoleMember] = f.member.Dump()
+	}
+	if f.dispatcher != nil {
+		roles[config.RoleDispatcher] = f.dispatcher.Dump()
+	}
+	if f.runner != nil {
+		roles[config.RoleRunner] = f.runner.Dump()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	control *control.Process
 	agent   *agent.Process
 	entry   *entry.Process
+	fleet   fleet
 }
 
 // Start runs the roles in the order in which they need each other. When one
@@ -53,7 +54,7 @@
 }
 
 func (n *Node) start(ctx context.Context) error {
-	steps := []func(context.Context) error{n.openKeys, n.startControl, n.startAgent, n.startEntry, n.startDebug}
+	steps := []func(context.Context) error{n.openKeys, n.startControl, n.startAgent, n.startEntry, n.startFleet, n.startDebug}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
@@ -142,24 +143,31 @@
 	if n.entry != nil {
 		roles[config.RoleEntry] = n.entry.Dump()
 	}
+	n.fleet.dump(roles)
 	return map[string]any{"cluster": n.settings.Cluster, "name": n.settings.Name, "zone": n.settings.Zone, "roles": roles}
 }
 
 // Done is closed when the control role ended by itself, such as on a failed
 // sync; the process can't go on then.
 func (n *Node) Done() <-chan struct{} {
-	if n.control == nil {
-		return nil
+	switch {
+	case n.fleet.member != nil:
+		return n.fleet.member.Done()
+	case n.control != nil:
+		return n.control.Done()
 	}
-	return n.control.Done()
+	return nil
 }
 
 // Err tells why the node ended by itself.
 func (n *Node) Err() error {
-	if n.control == nil {
-		return nil
+	switch {
+	case n.fleet.member != nil:
+		return n.fleet.member.Err()
+	case n.control != nil:
+		return n.control.Err()
 	}
-	return n.control.Err()
+	return nil
 }
 
 // Stop ends the roles gracefully: entries finish their jobs first, then
@@ -170,6 +178,7 @@
 	defer cancel()
 	defer n.cut()
 	began := time.Now()
+	n.stopFleet(ctx)
 	if n.entry != nil {
 		n.entry.Stop(ctx)
 	}
--- /dev/null
+++ b/internal/runner/options.go
@@ -0,0 +1,79 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"endivewing/internal/wire"
+)
+
+// Role is the runner's role in a hello and an announcement.
+const Role = "runner"
+
+const (
+	// SessionHeartbeat and SessionIdle watch the sessions with dispatchers. A
+	// caller that lost its answer may come back to another dispatcher 1.3 s
+	// later: by then the tasks of the silent one must have been stopped.
+	SessionHeartbeat = 150 * time.Millisecond
+	SessionIdle      = 700 * time.Millisecond
+
+	// leaseSpan is the lease that a call asks for; minions grant 1 s at most.
+	leaseSpan = 900 * time.Millisecond
+	// holdWait is how long a call waits at the minion for an end; a lease
+	// outlives two of them.
+	holdWait = 300 * time.Millisecond
+	// holdSlack is how much longer than holdWait an answer may take.
+	holdSlack = 200 * time.Millisecond
+	// callTimeout is how long a start or a stop waits for its answer: many
+	// times a call on the same host, little against the shortest objective.
+	callTimeout = 150 * time.Millisecond
+	// holdRetry is the pause after a call without an answer.
+	holdRetry = 10 * time.Millisecond
+	// unreachableAfter is how long no call is answered before no more starts
+	// are sent and the lease is left to end.
+	unreachableAfter = 600 * time.Millisecond
+	// slowestClock is the least rate of a minion's clock.
+	slowestClock = 0.98
+
+	// orderAge is the age from which an order is refused: it was held up, and
+	// its task may have been given to another runner since.
+	orderAge = 400 * time.Millisecond
+	// tickInterval is how often waiting runs and stops are looked at.
+	tickInterval = 10 * time.Millisecond
+	// reportGap is the shortest time between two reports of room alone.
+	reportGap = 4 * time.Millisecond
+	// fenceStep is added to a fencing token that was refused.
+	fenceStep = uint64(time.Minute / time.Millisecond)
+
+	eventQueue = 1024
+)
+
+// Options are the settings of a runner.
+type Options struct {
+	Cluster, Name, Zone string
+	// ListenAddress is where dispatchers connect.
+	ListenAddress string
+	// Seeds are session addresses of control members.
+	Seeds []string
+	// Minion calls the minion beside the runner.
+	Minion Minion
+	// StopTimeout bounds a graceful stop.
+	StopTimeout time.Duration
+
+	Log   logr.Logger
+	Scope tally.Scope
+}
+
+func (o *Options) wire(handler wire.Handler, closed func(*wire.Session)) wire.Options {
+	return wire.Options{
+		Hello:     o.hello,
+		Handler:   handler,
+		Closed:    closed,
+		Heartbeat: SessionHeartbeat,
+		Idle:      SessionIdle,
+		Scope:     o.Scope,
+		Log:       o.Log,
+	}
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -160,20 +160,20 @@
 
 // watchIdle sends heartbeats on an idle session and closes a silent one.
 func (s *Session) watchIdle() {
-	tick := time.NewTicker(heartbeatInterval)
+	tick := time.NewTicker(s.opts.heartbeat())
 	defer tick.Stop()
 	for {
 		select {
 		case <-s.done:
 			return
 		case now := <-tick.C:
-			if now.UnixNano()-s.received.Load() > int64(IdleTimeout) {
+			if now.UnixNano()-s.received.Load() > int64(s.opts.idle()) {
 				s.opts.Log.Info("session silent, closing", "peer", s.peer.GetName())
 				s.meter.dropped("silent_session")
 				s.Close()
 				return
 			}
-			if now.UnixNano()-s.sent.Load() >= int64(heartbeatInterval) {
+			if now.UnixNano()-s.sent.Load() >= int64(s.opts.heartbeat()) {
 				s.lanes[LaneUrgent].heartbeat()
 			}
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,7 @@
 package wire
 
 import (
+	"cmp"
 	"crypto/tls"
 	"errors"
 	"time"
@@ -67,6 +68,10 @@
 	ErrWrongCluster = errors.New("wire: wrong cluster")
 )
 
+func (o *Options) heartbeat() time.Duration { return cmp.Or(o.Heartbeat, heartbeatInterval) }
+
+func (o *Options) idle() time.Duration { return cmp.Or(o.Idle, IdleTimeout) }
+
 // Handler receives each message of a peer. It is called from one goroutine
 // per lane, in the lane's order, and must not block for long.
 type Handler func(s *Session, e *wirepb.Envelope)
@@ -82,6 +87,12 @@
 	Closed func(s *Session)
 	// TLS secures the sessions when set.
 	TLS *tls.Config
+	// Heartbeat is how long nothing is sent before a heartbeat is; 0 is
+	// heartbeatInterval.
+	Heartbeat time.Duration
+	// Idle is how long nothing may arrive before the session is closed; 0 is
+	// IdleTimeout.
+	Idle time.Duration
 	// Scope receives the counts of messages and bytes by kind.
 	Scope tally.Scope
 	Log   logr.Logger
