--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -97,6 +97,10 @@
 	// learners at hand; 0 leaves the membership to operators.
 	Voters int
 
+	// SessionHeartbeat is how long a session may be quiet; 0 leaves it to the
+	// sessions' default.
+	SessionHeartbeat time.Duration
+
 	TLS   *tls.Config
 	Log   logr.Logger
 	Scope tally.Scope
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -187,10 +187,11 @@
 				Cluster: p.opts.Cluster, Incarnation: p.id.Disk,
 			}
 		},
-		Handler: handler,
-		TLS:     p.opts.TLS,
-		Scope:   p.opts.Scope,
-		Log:     p.opts.Log,
+		Handler:   handler,
+		Heartbeat: p.opts.SessionHeartbeat,
+		TLS:       p.opts.TLS,
+		Scope:     p.opts.Scope,
+		Log:       p.opts.Log,
 	}
 }
 
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -24,8 +24,8 @@
 	// linkIdle closes a session with a member that went silent, early enough
 	// that a change reaches the process through another in time.
 	linkIdle = 1500 * time.Millisecond
-	// linkHeartbeat keeps a quiet session alive.
-	linkHeartbeat = 500 * time.Millisecond
+	// SessionHeartbeat keeps a quiet session alive, in both directions.
+	SessionHeartbeat = 500 * time.Millisecond
 	// forgetAfter is how long a member that no other lists any more, and that
 	// does not answer, is still dialed.
 	forgetAfter = 30 * time.Second
@@ -156,7 +156,7 @@
 // serve keeps one session until it ends.
 func (c *Client) serve(m *member) {
 	opts := c.opts.Wire
-	opts.Heartbeat, opts.Idle = linkHeartbeat, linkIdle
+	opts.Heartbeat, opts.Idle = SessionHeartbeat, linkIdle
 	opts.Handler = func(_ *wire.Session, e *wirepb.Envelope) {
 		if update := e.GetDirectoryUpdate(); update != nil {
 			c.take(m, update)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -227,14 +227,14 @@
 // Cancel ends a job whose caller has left.
 func (d *Dispatcher) Cancel(now time.Time, id string) {
 	if o := d.jobs[id]; o != nil {
-		d.answer(now, o, Failed, ReasonCallerLeft)
+		d.answer(now, o, GivenUp, ReasonCallerLeft)
 	}
 }
 
 // Abandon ends all jobs: their runners have stopped them meanwhile.
 func (d *Dispatcher) Abandon(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
-		d.answer(now, d.jobs[id], Failed, ReasonStalled)
+		d.answer(now, d.jobs[id], GivenUp, ReasonStalled)
 	}
 }
 
@@ -243,6 +243,9 @@
 	delete(d.jobs, o.ID)
 	d.dequeue(o)
 	d.stopRuns(o)
+	if result == GivenUp && !o.touched() {
+		result = Refused
+	}
 	a := Answer{Job: o.Job, Result: result, Reason: reason, Starts: o.starts, Lost: o.lost}
 	if !o.begun.IsZero() {
 		a.Waited = o.begun.Sub(o.Arrived)
@@ -306,9 +309,7 @@
 	switch {
 	case !o.touched() && now.Sub(o.Arrived) > time.Duration(patienceShare*float64(window)):
 		d.answer(now, o, Refused, ReasonNoRoom)
-	case now.After(o.Arrived.Add(overdueFactor*window)) && !o.open():
-		d.answer(now, o, Failed, ReasonOverdue)
-	case now.After(o.Limit):
-		d.answer(now, o, Failed, ReasonOverdue)
+	case now.After(o.Arrived.Add(overdueFactor*window)) && !o.open(), now.After(o.Limit):
+		d.answer(now, o, GivenUp, ReasonOverdue)
 	}
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -100,6 +100,16 @@
 	return false
 }
 
+// share is the part of the job's tasks that wait.
+func (o *openJob) share() float64 {
+	waits, all := 0, 0
+	for i, n := range o.waiting {
+		waits += n
+		all += o.Steps[i].Count
+	}
+	return float64(waits) / float64(all)
+}
+
 // find returns the task of a run that its end is told of, or nil.
 func (o *openJob) find(runner RunnerID, ref runtable.Ref) *task {
 	if int(ref.Step) >= len(o.tasks) || int(ref.Index) >= len(o.tasks[ref.Step]) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -1,37 +1,68 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"endivewing/internal/runtable"
 )
 
+// nearlyDone is the share of a job's tasks that may still wait for it to be
+// finished before jobs that are in time, although it is late.
+const nearlyDone = 0.25
+
 // place gives waiting tasks to runners, the most urgent job first. A job that
-// finds no room leaves none to less urgent ones that need as much.
+// finds no room leaves none to less urgent ones of its service.
 func (d *Dispatcher) place(now time.Time) {
-	for at := 0; at < len(d.queue); {
-		o := d.queue[at]
-		blocked := d.placeJob(now, o)
+	if len(d.queue) == 0 {
+		return
+	}
+	full := map[string]bool{}
+	for _, o := range d.inOrder(now) {
+		if full[o.Service] {
+			continue
+		}
+		if d.placeJob(now, o) {
+			full[o.Service] = true
+		}
 		if !o.hungry() {
 			d.dequeue(o)
-			continue
 		}
-		if blocked {
-			return
+	}
+}
+
+// inOrder returns the waiting jobs, the most urgent first: those that can still
+// meet their objective by the latest time to begin; before them late ones that
+// little is left of, after them the other late ones. Under more load than there
+// is room, work on late jobs would make the rest late too.
+func (d *Dispatcher) inOrder(now time.Time) []*openJob {
+	inTime, _ := slices.BinarySearchFunc(d.queue, now, func(o *openJob, at time.Time) int { return o.key.Compare(at) })
+	order := make([]*openJob, 0, len(d.queue))
+	var late []*openJob
+	for _, o := range d.queue[:inTime] {
+		if o.touched() && o.share() <= nearlyDone {
+			order = append(order, o)
+			continue
 		}
-		at++
+		late = append(late, o)
 	}
+	order = append(order, d.queue[inTime:]...)
+	return append(order, late...)
 }
 
-// placeJob places what it can of a job; blocked tells that room was missing.
-func (d *Dispatcher) placeJob(now time.Time, o *openJob) (blocked bool) {
+// placeJob places what it can of a job; full tells that there is no room for
+// others either.
+func (d *Dispatcher) placeJob(now time.Time, o *openJob) (full bool) {
 	for step := range o.Steps {
 		if o.waiting[step] == 0 || !o.ready(step) {
 			continue
 		}
-		blocked = d.placeStep(now, o, step) || blocked
+		s := &o.Steps[step]
+		if d.placeStep(now, o, step) && s.Label == "" && s.Spread == 0 {
+			full = true
+		}
 	}
-	return blocked
+	return full
 }
 
 func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int) (blocked bool) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -119,8 +119,10 @@
 const (
 	// Completed: every task is done.
 	Completed Result = iota + 1
-	// Failed: a task failed too often, or the work could not be finished.
+	// Failed: a task failed too often.
 	Failed
+	// GivenUp: the work has begun and could not be finished.
+	GivenUp
 	// Refused: nothing has run and nothing will.
 	Refused
 )
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -20,7 +20,7 @@
 	if l.waits[e.job.ID] != nil {
 		// The caller's earlier request is gone, or will be: the job begins
 		// anew once its tasks are stopped.
-		e.answer <- dispatch.Answer{Job: e.job, Result: dispatch.Failed, Reason: dispatch.ReasonDuplicate}
+		e.answer <- dispatch.Answer{Job: e.job, Result: dispatch.GivenUp, Reason: dispatch.ReasonDuplicate}
 		return
 	}
 	l.waits[e.job.ID] = e.answer
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -174,7 +174,7 @@
 }
 
 var resultWords = map[dispatch.Result]string{
-	dispatch.Completed: "completed", dispatch.Failed: "failed", dispatch.Refused: "refused",
+	dispatch.Completed: "completed", dispatch.Failed: "failed", dispatch.GivenUp: "given_up", dispatch.Refused: "refused",
 }
 
 // answer ends a job; what is out of the ordinary is logged.
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -109,10 +109,10 @@
 	case a := <-answer:
 		return a
 	case <-p.ended:
-		return dispatch.Answer{Job: j, Result: dispatch.Failed, Reason: dispatch.ReasonStalled}
+		return dispatch.Answer{Job: j, Result: dispatch.GivenUp, Reason: dispatch.ReasonStalled}
 	case <-ctx.Done():
 		p.post(callerLeft{j.ID, answer})
-		return dispatch.Answer{Job: j, Result: dispatch.Failed, Reason: dispatch.ReasonCallerLeft}
+		return dispatch.Answer{Job: j, Result: dispatch.GivenUp, Reason: dispatch.ReasonCallerLeft}
 	}
 }
 
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -18,6 +18,7 @@
 	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/control"
 	"endivewing/internal/controlclient"
+	"endivewing/internal/directory"
 	"endivewing/internal/sleep"
 )
 
@@ -99,8 +100,8 @@
 		ID: m.id.ID, ListenAddress: m.opts.Address, DataDir: filepath.Join(m.opts.DataDir, "log"),
 		Join: len(m.id.First) == 0, Members: m.id.peers(),
 		Tick: electionTime / control.DefaultElectionTicks, SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
-		Voters: voters,
-		Log:    m.opts.Log, Scope: m.opts.Scope,
+		Voters: voters, SessionHeartbeat: directory.SessionHeartbeat,
+		Log: m.opts.Log, Scope: m.opts.Scope,
 	}
 }
 
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -29,13 +29,20 @@
 	})
 }
 
-// poll keeps one call at the minion that waits for ends and renews the lease.
+// poll keeps a call at the minion that waits for ends and renews the lease;
+// two while calls go unanswered.
 func (l *loop) poll(now time.Time) {
-	if l.polling || !l.life.known {
+	if !l.life.known {
 		return
 	}
-	l.polling = true
-	l.hold(now, holdWait, true)
+	wanted := 1
+	if now.Sub(l.doubted) < doubtTime {
+		wanted = 2
+	}
+	for l.polling < wanted {
+		l.polling++
+		l.hold(now, holdWait, true)
+	}
 }
 
 // look asks for the lists at once.
@@ -75,7 +82,7 @@
 		return
 	}
 	if a.err != nil {
-		l.unanswered("start", a.call.Ref, a.err)
+		l.unanswered(now, "start", a.call.Ref, a.err)
 		l.table.StartAnswered(now, a.call.Ref, runtable.Unanswered)
 		return
 	}
@@ -115,7 +122,7 @@
 		return
 	}
 	if a.err != nil {
-		l.unanswered("stop", a.call.Ref, a.err)
+		l.unanswered(now, "stop", a.call.Ref, a.err)
 		return // the table sends it again
 	}
 	l.lease.heard(now, a.answer.Clock)
@@ -125,7 +132,8 @@
 	}
 }
 
-func (l *loop) unanswered(what string, ref runtable.Ref, err error) {
+func (l *loop) unanswered(now time.Time, what string, ref runtable.Ref, err error) {
+	l.doubted = now
 	l.metrics.unanswered.Inc(1)
 	l.p.opts.Log.Info("minion did not answer", "call", what, "job", ref.Job, "task", ref.Index, "run", ref.Run, "error", err.Error())
 }
@@ -151,7 +159,7 @@
 
 func (a listed) handle(l *loop, now time.Time) {
 	if a.polls {
-		l.polling = false
+		l.polling--
 	} else {
 		l.looking = false
 	}
@@ -160,6 +168,7 @@
 	}
 	if a.err != nil {
 		l.metrics.unanswered.Inc(1)
+		l.doubted = now
 		l.p.opts.Log.V(1).Info("minion did not answer", "call", "hold", "error", a.err.Error())
 		return
 	}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -27,9 +27,11 @@
 	byOwner     map[runtable.Owner]*dispatcher
 	lastOwner   runtable.Owner
 
-	// polling: a call that waits for ends is under way.
-	polling  bool
-	looking  bool
+	// polling counts the calls under way that wait for ends.
+	polling int
+	looking bool
+	// doubted is when a call to the minion last went unanswered.
+	doubted  time.Time
 	stopping chan<- struct{}
 
 	metrics loopMetrics
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -22,15 +22,19 @@
 	// leaseSpan is the lease that a call asks for; minions grant 1 s at most.
 	leaseSpan = 900 * time.Millisecond
 	// holdWait is how long a call waits at the minion for an end; a lease
-	// outlives two of them.
-	holdWait = 300 * time.Millisecond
+	// outlives several of them.
+	holdWait = 100 * time.Millisecond
 	// holdSlack is how much longer than holdWait an answer may take.
-	holdSlack = 200 * time.Millisecond
-	// callTimeout is how long a start or a stop waits for its answer: many
-	// times a call on the same host, little against the shortest objective.
-	callTimeout = 150 * time.Millisecond
+	holdSlack = 50 * time.Millisecond
+	// callTimeout is how long a start or a stop waits for its answer before it
+	// is sent again: many times a call on the same host, little against the
+	// shortest objective. Sending again does no harm.
+	callTimeout = 30 * time.Millisecond
 	// holdRetry is the pause after a call without an answer.
-	holdRetry = 10 * time.Millisecond
+	holdRetry = 5 * time.Millisecond
+	// doubtTime is how long after a call without an answer two calls wait for
+	// ends at once, so that losing one delays no end.
+	doubtTime = 2 * time.Second
 	// unreachableAfter is how long no call is answered before no more starts
 	// are sent and the lease is left to end.
 	unreachableAfter = 600 * time.Millisecond
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -18,8 +18,9 @@
 }
 
 // StartAnswered takes the minion's answer to a start in. After no answer the
-// run may begin at any time, so it is stopped: once the minion has answered
-// the stop, the run can't begin any more.
+// run may begin at any time. The same start is sent again, which the minion
+// carries out once; in the end the run is stopped: once the minion has
+// answered that, the run can't begin any more.
 func (t *Table) StartAnswered(now time.Time, ref Ref, answer StartAnswer) {
 	r := t.find(ref)
 	if r == nil {
@@ -37,9 +38,21 @@
 		if r.state == running { // a list has shown it
 			return
 		}
-		t.health.failed()
-		t.stop(now, r, ReasonNoAnswer)
+		t.unanswered(now, r)
+	}
+}
+
+func (t *Table) unanswered(now time.Time, r *run) {
+	if r.state != starting {
+		return
+	}
+	if r.tries < startTries {
+		r.tries++
+		t.out.Starts = append(t.out.Starts, r.Order)
+		return
 	}
+	t.health.failed()
+	t.stop(now, r, ReasonNoAnswer)
 }
 
 func rejection(answer StartAnswer) string {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -7,8 +7,10 @@
 
 const (
 	// stopRetry is how long a stop waits for its effect before it is sent
-	// again.
-	stopRetry = 150 * time.Millisecond
+	// again: longer than a minion's grace.
+	stopRetry = 70 * time.Millisecond
+	// startTries is how often a start is sent that gets no answer.
+	startTries = 4
 	// stuckLeast is the least time at work after which a run can count as
 	// stuck.
 	stuckLeast = 250 * time.Millisecond
@@ -37,6 +39,7 @@
 	stopped time.Time // the last stop was sent
 	settled time.Time // a stop was answered
 	seen    bool      // the minion has listed it at work
+	tries   int       // starts sent
 	// lost: nobody waits for its end any more.
 	lost   bool
 	reason string // of the stop
@@ -227,6 +230,7 @@
 		t.used = t.used.Plus(r.Need)
 		r.state = starting
 		r.ordered = now
+		r.tries = 1
 		t.out.Starts = append(t.out.Starts, r.Order)
 	}
 }
