Requests of a control host go to its member, not through a client that dials

Ruled out: the election (a new leader stood at 4 s) and the disk. Change: control.Process.Request asks the own loop, or the leader over the session that members keep; silent sessions between members end after 1.5 s.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -68,9 +68,15 @@
 	session *wire.Session
 	call    uint64
 	lane    wire.Lane
+	// local takes the answer of a request of the own host; it has room for one.
+	local chan<- *wirepb.Envelope
 }
 
 func (c caller) reply(e *wirepb.Envelope) {
+	if c.local != nil {
+		c.local <- e
+		return
+	}
 	if c.session != nil {
 		_ = c.session.Reply(c.lane, c.call, e)
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -297,6 +297,7 @@
 func (l *loop) changedLeader(now quorum.Leadership) {
 	before := l.leadership
 	l.leadership = now
+	l.p.publishLeadership(now)
 	l.directory.changed = true
 	l.opts.Log.Info("leader changed", "leader", now.Leader, "term", now.Term, "self", now.Self)
 	if before.Self {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -100,6 +100,8 @@
 	// SessionHeartbeat is how long a session may be quiet; 0 leaves it to the
 	// sessions' default.
 	SessionHeartbeat time.Duration
+	// SessionIdle is how long a session may be silent; 0 as above.
+	SessionIdle time.Duration
 
 	TLS   *tls.Config
 	Log   logr.Logger
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +29,9 @@
 	loop     *loop
 	installs installs
 
+	// leadership is the loop's view, for requests of the own host.
+	leadership atomic.Pointer[quorum.Leadership]
+
 	events chan event
 	// quit asks the loop to end; ended is closed when it has.
 	quit     chan struct{}
@@ -189,6 +193,7 @@
 		},
 		Handler:   handler,
 		Heartbeat: p.opts.SessionHeartbeat,
+		Idle:      p.opts.SessionIdle,
 		TLS:       p.opts.TLS,
 		Scope:     p.opts.Scope,
 		Log:       p.opts.Log,
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -63,6 +63,11 @@
 		p.installs.receive(from, chunk)
 		return
 	}
+	p.take(from, e)
+}
+
+// take hands a request to the loop.
+func (p *Process) take(from caller, e *wirepb.Envelope) {
 	if cmd := commandOf(e); cmd != nil {
 		p.postCommand(from, cmd)
 		return
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -21,9 +21,9 @@
 const (
 	redialFirst = 50 * time.Millisecond
 	redialMost  = 500 * time.Millisecond
-	// linkIdle closes a session with a member that went silent, early enough
+	// SessionIdle closes a session with a member that went silent, early enough
 	// that a change reaches the process through another in time.
-	linkIdle = 1500 * time.Millisecond
+	SessionIdle = 1500 * time.Millisecond
 	// SessionHeartbeat keeps a quiet session alive, in both directions.
 	SessionHeartbeat = 500 * time.Millisecond
 	// forgetAfter is how long a member that no other lists any more, and that
@@ -156,13 +156,13 @@
 // serve keeps one session until it ends.
 func (c *Client) serve(m *member) {
 	opts := c.opts.Wire
-	opts.Heartbeat, opts.Idle = SessionHeartbeat, linkIdle
+	opts.Heartbeat, opts.Idle = SessionHeartbeat, SessionIdle
 	opts.Handler = func(_ *wire.Session, e *wirepb.Envelope) {
 		if update := e.GetDirectoryUpdate(); update != nil {
 			c.take(m, update)
 		}
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, linkIdle)
+	ctx, cancel := context.WithTimeout(c.ctx, SessionIdle)
 	s, err := wire.Dial(ctx, m.address, opts)
 	cancel()
 	if err != nil {
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -100,7 +100,7 @@
 		ID: m.id.ID, ListenAddress: m.opts.Address, DataDir: filepath.Join(m.opts.DataDir, "log"),
 		Join: len(m.id.First) == 0, Members: m.id.peers(),
 		Tick: electionTime / control.DefaultElectionTicks, SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
-		Voters: voters, SessionHeartbeat: directory.SessionHeartbeat,
+		Voters: voters, SessionHeartbeat: directory.SessionHeartbeat, SessionIdle: directory.SessionIdle,
 		Log: m.opts.Log, Scope: m.opts.Scope,
 	}
 }
@@ -159,17 +159,30 @@
 func (m *Member) Reseed(seeds []string) { m.client.SetAddresses(append(m.addresses(nil), seeds...)) }
 
 // Put makes a document durable unless its version is not higher than the one
-// held. Errors as of controlclient.Control.
+// held. Errors: those of
+// control.Process.Request.
 func (m *Member) Put(ctx context.Context, version uint64, body []byte) error {
-	r, err := m.client.PutDocument(ctx, &wirepb.Document{Version: version, Body: body})
-	m.opts.Log.Info("document put", "version", version, "held", r.GetVersion(), "error", errorText(err))
+	ctx, cancel := context.WithTimeout(ctx, requestBudget)
+	defer cancel()
+	document := &wirepb.Document{Version: version, Body: body}
+	reply, err := m.member.Request(ctx, func() *wirepb.Envelope {
+		request := &wirepb.PutDocumentRequest{Document: document}
+		return &wirepb.Envelope{Body: &wirepb.Envelope_PutDocumentRequest{PutDocumentRequest: request}}
+	})
+	held := reply.GetPutDocumentResponse().GetVersion()
+	m.opts.Log.Info("document put", "version", version, "held", held, "error", errorText(err))
 	return err
 }
 
 // Get reads the newest document, confirmed by a quorum; nil when there is
-// none. Errors as of controlclient.Control.
+// none. Errors: those of control.Process.Request.
 func (m *Member) Get(ctx context.Context) ([]byte, error) {
-	d, err := m.client.GetDocument(ctx)
+	ctx, cancel := context.WithTimeout(ctx, requestBudget)
+	defer cancel()
+	reply, err := m.member.Request(ctx, func() *wirepb.Envelope {
+		return &wirepb.Envelope{Body: &wirepb.Envelope_GetDocumentRequest{GetDocumentRequest: &wirepb.GetDocumentRequest{}}}
+	})
+	d := reply.GetGetDocumentResponse().GetDocument()
 	m.opts.Log.Info("document read", "version", d.GetVersion(), "error", errorText(err))
 	return d.GetBody(), err
 }
