--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -91,7 +91,9 @@
 	if s.Has(RoleMember) {
 		required(f.Data, "fleet.data", add)
 		address(f.Operators, "fleet.operators", add)
-		count(f.Voters, "fleet.voters", add)
+		if f.Tolerate < 0 {
+			add("fleet.tolerate", "must not be negative")
+		}
 	}
 	if s.Has(RoleDispatcher) {
 		address(f.Callers, "fleet.callers", add)
@@ -110,6 +112,10 @@
 	return net.JoinHostPort(host, strconv.FormatUint(f.SessionPort, 10))
 }
 
+// Voters is the number of control members that vote: a majority of them is
+// left when Tolerate are lost.
+func (f *Fleet) Voters() int { return 2*f.Tolerate + 1 }
+
 // SeedSessions are the session addresses of the seeds' hosts.
 func (f *Fleet) SeedSessions() []string {
 	var all []string
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -9,7 +9,7 @@
 		Control:     defaultControl(),
 		Entry:       defaultEntry(),
 		Agent:       defaultAgent(),
-		Fleet:       Fleet{Voters: 3},
+		Fleet:       Fleet{Tolerate: 1},
 		Debug:       Debug{Listen: "127.0.0.1:0"},
 		Log:         Log{Level: "info", Output: "stderr"},
 	}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -98,7 +98,7 @@
 	SessionPort uint64   `yaml:"session_port" doc:"Port for sessions, the same on every host."`
 	Seeds       []string `yaml:"seeds" doc:"Addresses of hosts of control members; only the IP number counts."`
 	FirstStart  bool     `yaml:"first_start" doc:"The deployment starts for the first time, with empty disks."`
-	Voters      int      `yaml:"voters" doc:"Control members that vote."`
+	Tolerate    int      `yaml:"tolerate" doc:"Control members that may be lost at once; twice as many and one vote."`
 	Data        string   `yaml:"data" doc:"Folder of a control member."`
 	Callers     string   `yaml:"callers" doc:"HTTP address of a dispatcher for callers."`
 	Readiness   string   `yaml:"readiness" doc:"HTTP address of a dispatcher for the balancer."`
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -49,9 +49,11 @@
 }
 
 // publish sends the directory to all in it when it has changed. A member
-// without a leader stays silent: its document may be old.
+// without a leader, or that has applied nothing of the leader's term yet,
+// stays silent: its document may be old.
 func (d *directory) publish(l *loop, now time.Time) {
-	if !d.changed || l.leadership.Leader == 0 || now.Sub(d.last) < publishGap {
+	current := l.leadership.Leader != 0 && l.appliedTerm == l.leadership.Term
+	if !d.changed || !current || now.Sub(d.last) < publishGap {
 		return
 	}
 	d.changed = false
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -13,6 +13,8 @@
 const (
 	redialFirst = 20 * time.Millisecond
 	redialMost  = 250 * time.Millisecond
+	// peerDial bounds one dial: a host without power answers nothing.
+	peerDial = 400 * time.Millisecond
 )
 
 // peers carries messages to the other members. What can't be sent is dropped:
@@ -148,7 +150,9 @@
 	defer close(l.ended)
 	wait := redialFirst
 	for ctx.Err() == nil {
-		s, err := wire.Dial(ctx, l.address, l.opts)
+		dialing, cancel := context.WithTimeout(ctx, peerDial)
+		s, err := wire.Dial(dialing, l.address, l.opts)
+		cancel()
 		if err == nil {
 			wait = redialFirst
 			l.serve(ctx, s)
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -21,6 +21,9 @@
 const (
 	redialFirst = 50 * time.Millisecond
 	redialMost  = 500 * time.Millisecond
+	// dialTimeout bounds one dial: a host without power answers nothing, and
+	// the next try reaches it as soon as it is back.
+	dialTimeout = 300 * time.Millisecond
 	// SessionIdle closes a session with a member that went silent, early enough
 	// that a change reaches the process through another in time.
 	SessionIdle = 1500 * time.Millisecond
@@ -162,7 +165,7 @@
 			c.take(m, update)
 		}
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, SessionIdle)
+	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	s, err := wire.Dial(ctx, m.address, opts)
 	cancel()
 	if err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,18 @@
 	return n
 }
 
+// Load is the room of the runners that take new tasks and what of it is free,
+// in thousandths of a core, as far as this dispatcher knows.
+func (d *Dispatcher) Load() (free, capacity int64) {
+	for _, r := range d.order {
+		if r.Ready {
+			free += max(r.Free.CPU, 0)
+			capacity += r.Capacity.CPU
+		}
+	}
+	return free, capacity
+}
+
 // Unbegun counts the jobs of a queue of which no task has been placed.
 func (d *Dispatcher) Unbegun(queue string) int {
 	n := 0
--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -100,7 +100,7 @@
 		Scope:     l.p.opts.Scope,
 		Log:       l.p.opts.Log,
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, runner.SessionIdle)
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
 	s, err := wire.Dial(ctx, k.address, opts)
 	cancel()
 	if err != nil {
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -184,10 +184,12 @@
 	now := time.Now()
 	late := now.After(a.Job.Objective)
 	if a.Result != dispatch.Completed || late {
+		free, capacity := l.core.Load()
 		l.p.opts.Log.Info("job answered", "job", a.Job.ID, "queue", a.Job.Queue, "outcome", resultWords[a.Result],
 			"reason", a.Reason, "took_ms", now.Sub(a.Job.Arrived).Milliseconds(), "waited_ms", a.Waited.Milliseconds(),
 			"objective_ms", a.Job.Objective.Sub(a.Job.Arrived).Milliseconds(), "starts", a.Starts, "lost", a.Lost,
-			"waiting_jobs", l.core.Waiting(), "runners", l.core.Runners())
+			"waiting_jobs", l.core.Waiting(), "runners", l.core.Runners(),
+			"free_milli", free, "capacity_milli", capacity)
 	}
 	answer := l.waits[a.Job.ID]
 	if a.Reason == dispatch.ReasonDuplicate {
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// Voters is the number of voters wanted: one disk may be lost at any time.
-	Voters = 3
 	// joinInterval is how often a member looks whether it belongs to a group.
 	joinInterval = 300 * time.Millisecond
 	// joinAfter is how long a member is without a leader before it asks to be
@@ -49,7 +47,7 @@
 	// FirstStart: the deployment starts for the first time, with empty disks.
 	FirstStart bool
 	DataDir    string
-	// Voters is the number of voters wanted; 0 is the default.
+	// Voters is the number of voters wanted.
 	Voters int
 
 	Log   logr.Logger
@@ -91,16 +89,12 @@
 }
 
 func (m *Member) controlOptions() control.Options {
-	voters := m.opts.Voters
-	if voters == 0 {
-		voters = Voters
-	}
 	return control.Options{
 		Cluster: m.opts.Cluster, Name: m.opts.Name, Zone: m.opts.Zone,
 		ID: m.id.ID, ListenAddress: m.opts.Address, DataDir: filepath.Join(m.opts.DataDir, "log"),
 		Join: len(m.id.First) == 0, Members: m.id.peers(),
 		Tick: electionTime / control.DefaultElectionTicks, SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
-		Voters: voters, SessionHeartbeat: directory.SessionHeartbeat, SessionIdle: directory.SessionIdle,
+		Voters: m.opts.Voters, SessionHeartbeat: directory.SessionHeartbeat, SessionIdle: directory.SessionIdle,
 		Log: m.opts.Log, Scope: m.opts.Scope,
 	}
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -55,7 +55,7 @@
 	n.fleet.member, err = formation.Start(ctx, formation.Options{
 		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone,
 		Address: s.Fleet.SessionAddress(), Seeds: s.Fleet.SeedSessions(), FirstStart: s.Fleet.FirstStart,
-		DataDir: s.Fleet.Data, Voters: s.Fleet.Voters,
+		DataDir: s.Fleet.Data, Voters: s.Fleet.Voters(),
 		Log: n.log, Scope: n.metrics.Scope.SubScope(config.RoleMember),
 	})
 	if err != nil {
