Work that stands still or drags is moved; a member that has just started looks for a leader sooner

First wait for a leader 150 ms to 300 ms. A job is given up at its caller's limit, not at three times an objective that comes from a wrong estimate.

--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -85,6 +85,8 @@
 	Tick           time.Duration
 	HeartbeatTicks int
 	ElectionTicks  int
+	// StartTicks is the wait for a leader after a start; 0 is ElectionTicks.
+	StartTicks int
 	// SnapshotEntries and SnapshotBytes are the growth of the log after which
 	// a snapshot is written.
 	SnapshotEntries uint64
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -156,6 +156,7 @@
 	return quorum.Config{
 		ID:             p.opts.ID,
 		ElectionTicks:  p.opts.ElectionTicks,
+		StartTicks:     p.opts.StartTicks,
 		HeartbeatTicks: p.opts.HeartbeatTicks,
 		Seed:           p.id.Disk ^ uint64(time.Now().UnixNano()),
 		MaxBatchBytes:  maxBatchBytes,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,8 +16,6 @@
 	// patienceShare of the time until the objective is how long a job may wait
 	// with nothing begun before its caller is told to come back.
 	patienceShare = 0.25
-	// overdueFactor times the objective is when unfinished work is given up.
-	overdueFactor = 3
 	// skipRuns is added to a run number that a minion has seen before.
 	skipRuns = 16
 	// retryLeast and retryMost bound the time after which a refused job may
@@ -321,7 +319,7 @@
 	switch {
 	case !o.touched() && now.Sub(o.Arrived) > time.Duration(patienceShare*float64(window)):
 		d.answer(now, o, Refused, ReasonNoRoom)
-	case now.After(o.Arrived.Add(overdueFactor*window)) && !o.open(), now.After(o.Limit):
+	case now.After(o.Limit):
 		d.answer(now, o, GivenUp, ReasonOverdue)
 	}
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -88,18 +88,6 @@
 	return true
 }
 
-// open tells whether a run may be at work somewhere.
-func (o *openJob) open() bool {
-	for _, tasks := range o.tasks {
-		for i := range tasks {
-			if tasks[i].state == placed || tasks[i].state == doubtful {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // share is the part of the job's tasks that wait.
 func (o *openJob) share() float64 {
 	waits, all := 0, 0
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -103,7 +103,7 @@
 	if o.begun.IsZero() {
 		o.begun = now
 	}
-	if r.Suspicion >= suspect {
+	if r.suspect() {
 		r.probed = now
 	}
 	r.take(o.Steps[step].Need)
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -8,6 +8,9 @@
 const (
 	// suspect is the suspicion from which a minion gets one task at a time.
 	suspect = 0.5
+	// suspectPace is the pace from which a minion gets one task at a time: the
+	// objectives stretch run times by less.
+	suspectPace = 2.5
 	// probeGap is the least time between two tasks for a suspect minion.
 	probeGap = 500 * time.Millisecond
 	// zoneCost is the cost of a minion in another zone: two hops between zones.
@@ -77,12 +80,15 @@
 	return cost + time.Duration(r.Suspicion*float64(suspicionCost))
 }
 
+// suspect tells that the minion fails, or drags, most of its tasks.
+func (r *runner) suspect() bool { return r.Suspicion >= suspect || r.Pace >= suspectPace }
+
 // open tells whether the minion may get a task now.
 func (r *runner) open(now time.Time) bool {
 	if !r.Ready {
 		return false
 	}
-	if r.Suspicion < suspect {
+	if !r.suspect() {
 		return true
 	}
 	return r.outstanding == 0 && now.Sub(r.probed) >= probeGap
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -33,6 +33,9 @@
 	requestBudget = 850 * time.Millisecond
 	// electionTime is the silence of a leader after which an election starts.
 	electionTime = 500 * time.Millisecond
+	// startTicks of a tenth of electionTime is the wait for a leader after a
+	// start: time for the sessions to the others.
+	startTicks = 3
 	// snapshotEntries keeps the log short: documents are large and few.
 	snapshotEntries = 400
 )
@@ -93,7 +96,8 @@
 		Cluster: m.opts.Cluster, Name: m.opts.Name, Zone: m.opts.Zone,
 		ID: m.id.ID, ListenAddress: m.opts.Address, DataDir: filepath.Join(m.opts.DataDir, "log"),
 		Join: len(m.id.First) == 0, Members: m.id.peers(),
-		Tick: electionTime / control.DefaultElectionTicks, SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
+		Tick: electionTime / control.DefaultElectionTicks, StartTicks: startTicks,
+		SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
 		Voters: m.opts.Voters, SessionHeartbeat: directory.SessionHeartbeat, SessionIdle: directory.SessionIdle,
 		Log: m.opts.Log, Scope: m.opts.Scope,
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -89,6 +89,9 @@
 	c.out.hard = c.hard()
 	c.settle()
 	c.resetTimer()
+	if cfg.StartTicks > 0 {
+		c.timeout = cfg.StartTicks + c.rand.IntN(cfg.StartTicks)
+	}
 	return c, nil
 }
 
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -44,6 +44,11 @@
 	// ElectionTicks is the shortest election timeout, in ticks. The timeout
 	// of each wait is drawn from [ElectionTicks, 2*ElectionTicks).
 	ElectionTicks int
+	// StartTicks is the shortest wait for a leader after the start, in ticks;
+	// the wait is drawn from [StartTicks, 2*StartTicks). 0 is ElectionTicks. A
+	// member that has just started disturbs no leader with it: others don't
+	// vote while they hear one.
+	StartTicks int
 	// HeartbeatTicks is the heartbeat interval, in ticks.
 	HeartbeatTicks int
 	// Seed of the election timeouts.
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -119,7 +119,10 @@
 	}
 	switch {
 	case row.Outcome == Done:
-		t.health.done(now.Sub(r.ordered), r.Estimate)
+		t.health.done()
+		if !r.told {
+			t.health.learn(r.Job, now.Sub(r.ordered), r.Estimate)
+		}
 	case row.Outcome == Failed:
 		t.health.failed()
 	}
@@ -137,10 +140,7 @@
 		if r.state == starting { // its answer is late or lost
 			r.state, r.started = running, now
 		}
-		if r.state == running && stuck(now, r, percent) {
-			t.health.failed()
-			t.stop(now, r, ReasonStuck)
-		}
+		t.watch(now, r, percent)
 		return
 	}
 	settled := r.state == stopping && !r.settled.IsZero() && !asked.Before(r.settled)
@@ -154,12 +154,6 @@
 	}
 }
 
-// stuck tells that a run has done far less than its time allows.
-func stuck(now time.Time, r *run, percent int) bool {
-	worked := now.Sub(r.ordered)
-	return worked > stuckLeast && worked > stuckFactor*r.Estimate && percent < stuckPercent
-}
-
 // Tick gives up runs that waited too long and repeats stops without effect.
 func (t *Table) Tick(now time.Time) {
 	for _, r := range t.sorted() {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -11,13 +11,6 @@
 	stopRetry = 70 * time.Millisecond
 	// startTries is how often a start is sent that gets no answer.
 	startTries = 4
-	// stuckLeast is the least time at work after which a run can count as
-	// stuck.
-	stuckLeast = 250 * time.Millisecond
-	// stuckFactor times the estimate is the time after which a run that has
-	// done less than stuckPercent of its work counts as stuck.
-	stuckFactor  = 2
-	stuckPercent = 20
 )
 
 type state uint8
@@ -40,6 +33,9 @@
 	settled time.Time // a stop was answered
 	seen    bool      // the minion has listed it at work
 	tries   int       // starts sent
+	percent int       // of its work, by the last list
+	moved   time.Time // percent grew
+	told    bool      // its overrun counts in the pace
 	// lost: nobody waits for its end any more.
 	lost   bool
 	reason string // of the stop
@@ -126,7 +122,7 @@
 func (t *Table) Acked() uint64 { return t.acked }
 
 // Pace is the run time of ended tasks against their estimates; 0 when unknown.
-func (t *Table) Pace() float64 { return t.health.pace }
+func (t *Table) Pace() float64 { return t.health.pace() }
 
 // Suspicion is 0 for a minion that fails nothing, 1 for one that fails all.
 func (t *Table) Suspicion() float64 { return t.health.suspicion }
--- /dev/null
+++ b/internal/runtable/table_test.go
@@ -0,0 +1,268 @@
+package runtable
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+// at is a time in milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func name(job string, index uint32) Name { return Name{Job: job, Index: index} }
+
+func order(job string, index uint32, cpu int64) Order {
+	return Order{
+		Name: name(job, index), Run: 1, Owner: 1, Need: Need{CPU: cpu}, Estimate: 100 * time.Millisecond, Expires: at(60_000),
+	}
+}
+
+func ref(o Order) Ref { return Ref{o.Name, o.Run} }
+
+// table returns a table whose minion has 10 cores and was swept.
+func table(t *testing.T) *Table {
+	t.Helper()
+	tab := New()
+	tab.Reboot(at(0))
+	tab.Describe(at(0), Need{CPU: 10_000}, true)
+	tab.Listed(at(1), Listing{Asked: at(0)})
+	assert.Assert(t, tab.Ready())
+	tab.Take()
+	return tab
+}
+
+// started places an order and has the minion accept it.
+func started(t *testing.T, tab *Table, now time.Time, o Order) {
+	t.Helper()
+	tab.Place(now, o)
+	out := tab.Take()
+	assert.Equal(t, len(out.Starts), 1)
+	tab.StartAnswered(now, ref(o), Started)
+}
+
+func onlyEnd(t *testing.T, tab *Table) End {
+	t.Helper()
+	out := tab.Take()
+	assert.Equal(t, len(out.Ends), 1)
+	return out.Ends[0]
+}
+
+func TestRoomIsNeverOverdrawn(t *testing.T) {
+	tab := table(t)
+	for i := range uint32(4) {
+		tab.Place(at(1), order("a", i, 4000))
+	}
+	out := tab.Take()
+	assert.Equal(t, len(out.Starts), 2)
+	assert.Equal(t, tab.Free().CPU, int64(10_000-4*4000))
+
+	// Room is free when the end is listed, not when a stop is asked for.
+	tab.StartAnswered(at(2), ref(out.Starts[0]), Started)
+	tab.StartAnswered(at(2), ref(out.Starts[1]), Started)
+	tab.Stop(at(3), 1, out.Starts[0].Name, 1)
+	tab.StopAnswered(at(4), ref(out.Starts[0]))
+	assert.Equal(t, len(tab.Take().Starts), 0)
+	tab.Listed(at(6), Listing{
+		Asked:   at(5),
+		Running: []RunningRow{{Ref: ref(out.Starts[1]), Percent: 5}},
+		Ended:   []EndedRow{{Ref: ref(out.Starts[0]), Number: 1, Outcome: Stopped}},
+	})
+	assert.Equal(t, len(tab.Take().Starts), 1)
+}
+
+func TestWaitingRunsStartByKeyAndExpire(t *testing.T) {
+	tab := table(t)
+	started(t, tab, at(1), order("full", 0, 10_000))
+	late, early := order("late", 0, 1000), order("early", 0, 1000)
+	late.Key, early.Key = 2, 1
+	late.Expires = at(20)
+	tab.Place(at(2), late)
+	tab.Place(at(2), early)
+	tab.Tick(at(21))
+	end := onlyEnd(t, tab)
+	assert.Equal(t, end.Job, "late")
+	assert.Equal(t, end.Outcome, NotRun)
+	tab.Listed(at(30), Listing{Asked: at(29), Ended: []EndedRow{{Ref: Ref{name("full", 0), 1}, Number: 1, Outcome: Done}}})
+	out := tab.Take()
+	assert.Equal(t, out.Starts[0].Job, "early")
+}
+
+// TestUnansweredStart: the same start goes out again; only a stop that the
+// minion took in, and a list after it, say that the run can't begin.
+func TestUnansweredStart(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	tab.Place(at(1), o)
+	for range startTries - 1 {
+		assert.Equal(t, len(tab.Take().Starts), 1)
+		tab.StartAnswered(at(30), ref(o), Unanswered)
+	}
+	tab.Take()
+	tab.StartAnswered(at(120), ref(o), Unanswered)
+	assert.Equal(t, len(tab.Take().Stops), 1)
+	tab.Listed(at(121), Listing{Asked: at(119)})
+	assert.Equal(t, tab.Open(), 1)
+	tab.Tick(at(200))
+	assert.Equal(t, len(tab.Take().Stops), 1)
+	tab.StopAnswered(at(201), ref(o))
+	assert.Assert(t, tab.Take().Look)
+	tab.Listed(at(203), Listing{Asked: at(202)})
+	assert.Equal(t, onlyEnd(t, tab).Outcome, NotRun)
+}
+
+func TestListProvesAnUnansweredStart(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	tab.Place(at(1), o)
+	tab.Listed(at(20), Listing{Asked: at(10), Running: []RunningRow{{Ref: ref(o), Percent: 10}}})
+	tab.Take()
+	tab.StartAnswered(at(31), ref(o), Unanswered)
+	out := tab.Take()
+	assert.Equal(t, len(out.Starts)+len(out.Stops), 0)
+}
+
+func TestForeignRunsAreSweptBeforeAnythingStarts(t *testing.T) {
+	tab := New()
+	tab.Reboot(at(0))
+	tab.Describe(at(0), Need{CPU: 10_000}, true)
+	foreign := Ref{name("old", 0), 3}
+	tab.Listed(at(1), Listing{Asked: at(0), Running: []RunningRow{{Ref: foreign}}})
+	out := tab.Take()
+	assert.DeepEqual(t, out.Stops, []Ref{foreign})
+	tab.Place(at(2), order("a", 0, 1000))
+	assert.Equal(t, onlyEnd(t, tab).Reason, ReasonNotReady)
+	tab.Listed(at(3), Listing{Asked: at(2)})
+	assert.Assert(t, tab.Ready())
+}
+
+func TestLostDispatcherIsStoppedAndNotTold(t *testing.T) {
+	tab := table(t)
+	mine, other := order("a", 0, 1000), order("b", 0, 1000)
+	other.Owner = 2
+	started(t, tab, at(1), mine)
+	started(t, tab, at(1), other)
+	tab.DropOwner(at(2), 1)
+	out := tab.Take()
+	assert.DeepEqual(t, out.Stops, []Ref{ref(mine)})
+	tab.Listed(at(4), Listing{
+		Asked: at(3), Running: []RunningRow{{Ref: ref(other), Percent: 1}},
+		Ended: []EndedRow{{Ref: ref(mine), Number: 1, Outcome: Stopped}},
+	})
+	assert.Equal(t, len(tab.Take().Ends), 0)
+	assert.Equal(t, tab.Open(), 1)
+}
+
+// TestSameTaskOfAnotherDispatcher: a caller came back elsewhere. The earlier
+// run ends before the task can start again.
+func TestSameTaskOfAnotherDispatcher(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	started(t, tab, at(1), o)
+	again := o
+	again.Owner = 2
+	tab.Place(at(2), again)
+	out := tab.Take()
+	assert.DeepEqual(t, out.Stops, []Ref{ref(o)})
+	assert.Equal(t, out.Ends[0].Reason, ReasonDuplicate)
+	assert.Equal(t, len(out.Starts), 0)
+}
+
+func TestEndsAreTakenOnce(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	started(t, tab, at(1), o)
+	ended := Listing{Asked: at(3), Ended: []EndedRow{{Ref: ref(o), Number: 1, Outcome: Done}}}
+	tab.Listed(at(4), ended)
+	assert.Equal(t, onlyEnd(t, tab).Outcome, Done)
+	tab.Listed(at(5), ended)
+	assert.Equal(t, len(tab.Take().Ends), 0)
+	assert.Equal(t, tab.Acked(), uint64(1))
+}
+
+func TestRebootEndsWhatRan(t *testing.T) {
+	tab := table(t)
+	started(t, tab, at(1), order("a", 0, 1000))
+	tab.Reboot(at(5))
+	end := onlyEnd(t, tab)
+	assert.Equal(t, end.Outcome, Stopped)
+	assert.Equal(t, tab.Free(), Need{CPU: 10_000})
+	assert.Assert(t, !tab.Ready())
+	assert.Equal(t, tab.Acked(), uint64(0))
+}
+
+// TestWorkThatStandsStill: a run that had begun well and stops moving is
+// stopped, so that it can run elsewhere.
+func TestWorkThatStandsStill(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	started(t, tab, at(0), o)
+	list := func(ms, percent int) {
+		tab.Listed(at(ms), Listing{Asked: at(ms - 1), Running: []RunningRow{{Ref: ref(o), Percent: percent}}})
+	}
+	list(30, 30)
+	list(60, 60)
+	list(160, 60)
+	assert.Equal(t, len(tab.Take().Stops), 0)
+	list(240, 60)
+	assert.Equal(t, len(tab.Take().Stops), 1)
+	assert.Assert(t, tab.Suspicion() > 0)
+}
+
+// TestSlowWorkIsStoppedAtASlowMinion: one overrun may be a bad estimate; when
+// the minion's other runs drag too, its runs are better off elsewhere.
+func TestSlowWorkIsStoppedAtASlowMinion(t *testing.T) {
+	cases := []struct {
+		name    string
+		others  int // runs that overrun nine times
+		percent int // of the run in question after 350 ms
+		stopped bool
+	}{
+		{"one slow run", 0, 40, false},
+		{"slow minion", 6, 40, true},
+		{"slow minion, nearly done", 6, 90, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tab := table(t)
+			var rows []RunningRow
+			for i := range uint32(c.others) {
+				o := order(fmt.Sprint("other", i), 0, 100)
+				started(t, tab, at(0), o)
+				rows = append(rows, RunningRow{Ref: ref(o), Percent: 25})
+			}
+			o := order("a", 0, 100)
+			started(t, tab, at(0), o)
+			tab.Listed(at(225), Listing{Asked: at(224), Running: append(rows, RunningRow{Ref: ref(o), Percent: 30})})
+			tab.Take()
+			tab.Listed(at(350), Listing{Asked: at(349), Running: append(rows, RunningRow{Ref: ref(o), Percent: c.percent})})
+			stops := tab.Take().Stops
+			assert.Equal(t, slices.Contains(stops, ref(o)), c.stopped)
+		})
+	}
+}
+
+func TestLapseEndsWhatWasSent(t *testing.T) {
+	tab := table(t)
+	started(t, tab, at(0), order("a", 0, 10_000))
+	tab.Place(at(1), order("b", 0, 1000))
+	tab.Lapse(at(1200))
+	out := tab.Take()
+	assert.Equal(t, out.Ends[0].Reason, ReasonLapsed)
+	assert.Equal(t, out.Starts[0].Job, "b")
+}
+
+func TestDrainingRefusesWhatWaits(t *testing.T) {
+	tab := table(t)
+	started(t, tab, at(0), order("a", 0, 10_000))
+	tab.Place(at(1), order("b", 0, 1000))
+	tab.Describe(at(2), Need{CPU: 10_000}, false)
+	end := onlyEnd(t, tab)
+	assert.Equal(t, end.Job, "b")
+	assert.Equal(t, end.Outcome, NotRun)
+	assert.Equal(t, tab.Open(), 1)
+}
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -77,6 +77,7 @@
 	ReasonLapsed     = "lease_lapsed"
 	ReasonMinionGone = "minion_ended"
 	ReasonStuck      = "no_progress"
+	ReasonSlow       = "too_slow"
 	ReasonStale      = "order_too_old"
 )
 
