A runner tells every change of what it offers

Ruled out: fencing, unreachable minions (logged now), foreign runs. Change: a report goes out when readiness, room or capacity differ from what was told last.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -169,11 +169,12 @@
 	if a.err != nil {
 		l.metrics.unanswered.Inc(1)
 		l.doubted = now
-		l.p.opts.Log.V(1).Info("minion did not answer", "call", "hold", "error", a.err.Error())
+		l.holdError = a.err.Error()
 		return
 	}
 	l.checkFence(a.lists.Verdict, a.call.Fence)
 	if a.lists.Verdict != Accepted {
+		l.holdError = verdictWords[a.lists.Verdict]
 		return
 	}
 	if a.lists.Born > l.life.Born && l.life.Born != 0 {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -30,6 +30,11 @@
 	// polling counts the calls under way that wait for ends.
 	polling int
 	looking bool
+	// told is the offer that the last reports were made of.
+	told offer
+	// reached: the minion has answered lately; holdError is why it did not.
+	reached   bool
+	holdError string
 	// doubted is when a call to the minion last went unanswered.
 	doubted  time.Time
 	stopping chan<- struct{}
@@ -37,6 +42,12 @@
 	metrics loopMetrics
 }
 
+// offer is what a runner can give to dispatchers.
+type offer struct {
+	ready          bool
+	free, capacity runtable.Need
+}
+
 // life is the minion's present life; the zero value is none.
 type life struct {
 	Report
@@ -130,6 +141,11 @@
 
 // describe tells the table whether new tasks may start.
 func (l *loop) describe(now time.Time) {
+	if reached := l.lease.reachable(now); reached != l.reached {
+		l.reached = reached
+		l.p.opts.Log.Info("minion reachable", "endpoint", l.life.Endpoint, "reachable", reached,
+			"silent_ms", now.Sub(l.lease.told).Milliseconds(), "last_error", l.holdError)
+	}
 	ready := l.life.known && !l.life.Draining && l.stopping == nil && l.lease.reachable(now)
 	l.table.Describe(now, l.life.Capacity, ready)
 }
@@ -150,13 +166,22 @@
 		l.look(now)
 	}
 	l.poll(now)
-	l.sendReports(now, len(out.Starts)+len(out.Ends) > 0)
+	l.sendReports(now, l.offerChanged())
 	if l.stopping != nil && l.table.Open() == 0 {
 		close(l.stopping)
 		l.stopping = make(chan struct{}) // closed once
 	}
 }
 
+// offerChanged tells that the room or the readiness differs from what was told
+// last.
+func (l *loop) offerChanged() bool {
+	now := offer{ready: l.table.Ready(), free: l.table.Free(), capacity: l.table.Capacity()}
+	changed := now != l.told
+	l.told = now
+	return changed
+}
+
 // report queues an end for the dispatcher that ordered the run.
 func (l *loop) report(end runtable.End) {
 	l.metrics.ends[end.Outcome].Inc(1)
