Dials end after 150 ms

Ruled out: the wait for an election (150 ms to 300 ms). Change: dials of members, runners and control end after 150 ms.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -14,7 +14,7 @@
 	redialFirst = 20 * time.Millisecond
 	redialMost  = 250 * time.Millisecond
 	// peerDial bounds one dial: a host without power answers nothing.
-	peerDial = 400 * time.Millisecond
+	peerDial = 150 * time.Millisecond
 )
 
 // peers carries messages to the other members. What can't be sent is dropped:
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -23,7 +23,7 @@
 	redialMost  = 500 * time.Millisecond
 	// dialTimeout bounds one dial: a host without power answers nothing, and
 	// the next try reaches it as soon as it is back.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// SessionIdle closes a session with a member that went silent, early enough
 	// that a change reaches the process through another in time.
 	SessionIdle = 1500 * time.Millisecond
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -35,7 +35,7 @@
 	redialMost  = 400 * time.Millisecond
 	// dialTimeout bounds one dial: a host without power answers nothing, and
 	// the next try reaches it as soon as it is back.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// forgetRunner is how long a runner that no control member lists is still
 	// dialed.
 	forgetRunner = 15 * time.Second
