--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -35,6 +35,8 @@
 	dispatcher *dispatcher.Process
 	runner     *runner.Process
 	servers    []*http.Server
+	// addresses are where the servers listen, by whom they serve.
+	addresses map[string]string
 }
 
 func (n *Node) startFleet(ctx context.Context) error {
@@ -62,7 +64,7 @@
 		return eris.Wrap(err, "start member")
 	}
 	operator := &platform.Operator{Documents: n.fleet.member, Log: n.log}
-	return n.serve(s.Fleet.Operators, operator.Handler())
+	return n.serve("operators", s.Fleet.Operators, operator.Handler())
 }
 
 func (n *Node) startDispatcher() error {
@@ -74,10 +76,10 @@
 		Log:    n.log, Scope: scope,
 	})
 	front := &platform.Front{Dispatcher: n.fleet.dispatcher, Log: n.log, Scope: scope}
-	if err := n.serve(s.Fleet.Readiness, front.ReadyHandler()); err != nil {
+	if err := n.serve("balancer", s.Fleet.Readiness, front.ReadyHandler()); err != nil {
 		return err
 	}
-	return n.serve(s.Fleet.Callers, front.Handler())
+	return n.serve("callers", s.Fleet.Callers, front.Handler())
 }
 
 func (n *Node) startRunner() (err error) {
@@ -92,17 +94,22 @@
 		return eris.Wrap(err, "start runner")
 	}
 	reports := &platform.Reports{Runner: n.fleet.runner, Log: n.log}
-	return n.serve(s.Fleet.Reports, reports.Handler())
+	return n.serve("minion", s.Fleet.Reports, reports.Handler())
 }
 
-// serve answers HTTP requests at an address until the node stops.
-func (n *Node) serve(address string, handler http.Handler) error {
+// serve answers HTTP requests at an address until the node stops; whom names
+// who asks there.
+func (n *Node) serve(whom, address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: fleetHeaderTimeout, IdleTimeout: fleetIdleTimeout}
 	n.fleet.servers = append(n.fleet.servers, server)
+	if n.fleet.addresses == nil {
+		n.fleet.addresses = map[string]string{}
+	}
+	n.fleet.addresses[whom] = l.Addr().String()
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error(err, "HTTP server ended", "address", address)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,9 @@
 	if n.entry != nil {
 		addresses[config.RoleEntry] = n.entry.HTTPAddress()
 	}
+	for name, address := range n.fleet.addresses {
+		addresses[name] = address
+	}
 	if n.debug != nil {
 		addresses["debug"] = n.debug.Address()
 	}
