--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,8 +14,9 @@
 	// runner the lease ends.
 	settleAfter = 1800 * time.Millisecond
 	// patienceShare of the time until the objective is how long a job may wait
-	// with nothing begun before its caller is told to come back.
-	patienceShare = 0.25
+	// with nothing begun before its caller is told to come back. Callers count
+	// a refusal as late from a quarter on, and estimates are rough.
+	patienceShare = 0.2
 	// skipRuns is added to a run number that a minion has seen before.
 	skipRuns = 16
 	// retryLeast and retryMost bound the time after which a refused job may
@@ -193,6 +194,7 @@
 		return
 	}
 	step := int(e.Step)
+	o.ran = o.ran || e.Outcome != runtable.NotRun
 	switch e.Outcome {
 	case runtable.Done:
 		t.state = done
@@ -306,6 +308,11 @@
 	d.place(now)
 }
 
+// patience is when a job that has not begun is refused.
+func (o *openJob) patience() time.Time {
+	return o.Arrived.Add(time.Duration(patienceShare * float64(o.Objective.Sub(o.Arrived))))
+}
+
 func (d *Dispatcher) review(now time.Time, o *openJob) {
 	for step, tasks := range o.tasks {
 		for i := range tasks {
@@ -315,9 +322,8 @@
 			}
 		}
 	}
-	window := o.Objective.Sub(o.Arrived)
 	switch {
-	case !o.touched() && now.Sub(o.Arrived) > time.Duration(patienceShare*float64(window)):
+	case !o.touched() && now.After(o.patience()):
 		d.answer(now, o, Refused, ReasonNoRoom)
 	case now.After(o.Limit):
 		d.answer(now, o, GivenUp, ReasonOverdue)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -24,6 +24,8 @@
 	run      uint32
 	runner   RunnerID
 	failures int
+	// sure is when a placed task that has not come back must be at work.
+	sure time.Time
 	// until is when a doubtful run has surely ended.
 	until time.Time
 	// avoid is the minion where it failed last.
@@ -44,18 +46,25 @@
 	// starts counts runs given to runners, unrun those of them that never ran,
 	// lost those whose end was not told.
 	starts, unrun, lost int
+	// ran: a run has ended otherwise than as never run.
+	ran bool
 }
 
 // touched tells whether a task has run or may have.
 func (o *openJob) touched() bool { return o.starts > o.unrun }
 
+// priorityStep is how much later a job may begin for each step of priority
+// below the first: of two jobs whose latest times to begin are near, the more
+// urgent queue's goes first.
+const priorityStep = 60 * time.Millisecond
+
 func newOpenJob(j *Job) *openJob {
 	o := &openJob{Job: j, tasks: make([][]task, len(j.Steps)), left: make([]int, len(j.Steps)), waiting: make([]int, len(j.Steps))}
 	for i, s := range j.Steps {
 		o.tasks[i] = make([]task, s.Count)
 		o.left[i], o.waiting[i] = s.Count, s.Count
 	}
-	o.key = j.Objective.Add(-j.chain())
+	o.key = j.Objective.Add(-j.chain()).Add(time.Duration(j.Priority) * priorityStep)
 	return o
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,26 +11,52 @@
 // finished before jobs that are in time, although it is late.
 const nearlyDone = 0.25
 
-// place gives waiting tasks to runners, the most urgent job first. A job that
-// finds no room leaves none to less urgent ones of its service.
+// wholePriority is the priority from which a job begins only when there is room
+// for all its waiting tasks: half a job in time helps nobody, and under more
+// load than there is room the other half would come late. More urgent jobs take
+// what room there is at once, since wide ones would never find it all.
+const wholePriority = 1
+
+// place gives waiting tasks to runners, the most urgent job first. What a job
+// has no use for goes to the next.
 func (d *Dispatcher) place(now time.Time) {
 	if len(d.queue) == 0 {
 		return
 	}
-	full := map[string]bool{}
 	for _, o := range d.inOrder(now) {
-		if full[o.Service] {
+		if o.Priority >= wholePriority && !o.touched() && !d.roomFor(o) {
 			continue
 		}
-		if d.placeJob(now, o) {
-			full[o.Service] = true
+		if !o.mayPlace(now) {
+			continue
 		}
+		d.placeJob(now, o)
 		if !o.hungry() {
 			d.dequeue(o)
 		}
 	}
 }
 
+// roomFor tells whether all waiting tasks of a job have room now.
+func (d *Dispatcher) roomFor(o *openJob) bool {
+	for step := range o.Steps {
+		if o.waiting[step] == 0 || !o.ready(step) {
+			continue
+		}
+		s := &o.Steps[step]
+		left := int64(o.waiting[step])
+		for _, r := range d.order {
+			if r.serves(o.Service, s) && s.Need.CPU > 0 {
+				left -= max(r.Free.CPU, 0) / s.Need.CPU
+			}
+		}
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // inOrder returns the waiting jobs, the most urgent first: those that can still
 // meet their objective by the latest time to begin; before them late ones that
 // little is left of, after them the other late ones. Under more load than there
@@ -50,22 +76,17 @@
 	return append(order, late...)
 }
 
-// placeJob places what it can of a job; full tells that there is no room for
-// others either.
-func (d *Dispatcher) placeJob(now time.Time, o *openJob) (full bool) {
+// placeJob places what it can of a job.
+func (d *Dispatcher) placeJob(now time.Time, o *openJob) {
 	for step := range o.Steps {
-		if o.waiting[step] == 0 || !o.ready(step) {
-			continue
-		}
-		s := &o.Steps[step]
-		if d.placeStep(now, o, step) && s.Label == "" && s.Spread == 0 {
-			full = true
+		if o.waiting[step] > 0 && o.ready(step) {
+			d.placeStep(now, o, step)
 		}
 	}
-	return full
 }
 
-func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int) (blocked bool) {
+func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int) {
+	wait := o.runnerWait(now)
 	batches := map[RunnerID]*Placement{}
 	var order []*Placement
 	for i := range o.tasks[step] {
@@ -75,13 +96,13 @@
 		}
 		r := d.choose(now, o, step, t)
 		if r == nil {
-			blocked = true
 			break
 		}
 		d.give(now, o, step, t, r)
+		t.sure = now.Add(wait + answerTime)
 		p := batches[r.id]
 		if p == nil {
-			p = &Placement{Runner: r.id, Job: o.Job, Step: step, Key: o.key}
+			p = &Placement{Runner: r.id, Job: o.Job, Step: step, Key: o.key, Wait: wait}
 			batches[r.id] = p
 			order = append(order, p)
 		}
@@ -91,7 +112,45 @@
 	for _, p := range order {
 		d.out.Placements = append(d.out.Placements, *p)
 	}
-	return blocked
+}
+
+const (
+	// runnerWait is how long tasks may wait at a runner for room: a few ends.
+	runnerWait = 40 * time.Millisecond
+	// runnerWaitLeast covers the time of a message.
+	runnerWaitLeast = 4 * time.Millisecond
+	// answerTime is how long after a task's wait its refusal is here: two
+	// messages and the interval at which runners look at what waits.
+	answerTime = 16 * time.Millisecond
+)
+
+// runnerWait is how long tasks placed now may wait at a runner. A job that may
+// not have begun comes back in time to be refused.
+func (o *openJob) runnerWait(now time.Time) time.Duration {
+	if o.ran {
+		return runnerWait
+	}
+	return min(runnerWait, max(runnerWaitLeast, o.patience().Sub(now)))
+}
+
+// mayPlace tells whether more tasks of a job may be placed. When its patience is
+// over, only one that has surely begun goes on; the others are refused once
+// what was placed has come back.
+func (o *openJob) mayPlace(now time.Time) bool {
+	return o.ran || !now.After(o.patience()) || o.runs(now)
+}
+
+// runs tells whether a placed task has outlived its wait for room, so that it
+// must be at work.
+func (o *openJob) runs(now time.Time) bool {
+	for _, tasks := range o.tasks {
+		for i := range tasks {
+			if t := &tasks[i]; t.state == placed && now.After(t.sure) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (d *Dispatcher) give(now time.Time, o *openJob, step int, t *task, r *runner) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -102,6 +102,8 @@
 	Runs   []runtable.Ref
 	// Key orders waiting tasks at the runner.
 	Key time.Time
+	// Wait is how long the tasks may wait there for room.
+	Wait time.Duration
 }
 
 // Stop ends runs at a runner; no Runs means all of the job.
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -149,7 +149,7 @@
 		Tasks:      taskRuns(p.Runs),
 		Key:        stamp + time.Until(p.Key).Milliseconds(),
 		EstimateMs: uint32(step.Estimate.Milliseconds()),
-		WaitMs:     uint32(runnerWait.Milliseconds()),
+		WaitMs:     uint32(p.Wait.Milliseconds()),
 		StampMs:    stamp,
 	}
 	l.metrics.placed.Inc(int64(len(p.Runs)))
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -28,8 +28,6 @@
 	// stallAfter is a pause of the process after which its jobs are given up:
 	// the runners have stopped their tasks, and callers may have gone elsewhere.
 	stallAfter = 900 * time.Millisecond
-	// runnerWait is how long tasks may wait at a runner for room.
-	runnerWait = 40 * time.Millisecond
 	// redialFirst and redialMost bound the pause between dials of a runner.
 	redialFirst = 30 * time.Millisecond
 	redialMost  = 400 * time.Millisecond
