A stopping dispatcher is gone right after its listener

Ruled out: the refusal itself (1 ms), the 2.6 s until it refuses (one host a zone: the balancer goes on using it).

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
 	"endivewing/internal/config"
@@ -25,6 +26,9 @@
 	// leaveBalancer is how long a stopping dispatcher goes on taking work: the
 	// balancer asks once a second and believes the second miss.
 	leaveBalancer = 2600 * time.Millisecond
+	// closeTime is how long a server may take to end that refuses everything: a
+	// refusal takes a millisecond, and callers notice 0.2 s of silence.
+	closeTime = 80 * time.Millisecond
 	// stopMargin is what a stop keeps of its time to close what is left.
 	stopMargin = 500 * time.Millisecond
 )
@@ -150,15 +154,33 @@
 		f.runner.Stop(ctx)
 	}
 	for _, server := range f.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			n.log.Info("HTTP connections cut", "error", err.Error())
-		}
+		closeServer(ctx, server, n.log)
 	}
 	if f.member != nil {
 		f.member.Stop(ctx)
 	}
 }
 
+// httpServer is what of a server its end needs.
+type httpServer interface {
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+// closeServer ends a server that has nothing left to do. Between its listener's
+// end and the process's, requests on connections that were never accepted wait
+// in vain, so what is still open is cut after closeTime.
+func closeServer(ctx context.Context, server httpServer, log logr.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, closeTime)
+	defer cancel()
+	if err := server.Shutdown(ctx); err == nil {
+		return
+	}
+	if err := server.Close(); err != nil {
+		log.Error(err, "HTTP connections cut")
+	}
+}
+
 // deadlineOf is when a context ends; now for one without an end.
 func deadlineOf(ctx context.Context) time.Time {
 	if end, ok := ctx.Deadline(); ok {
