--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -29,6 +30,9 @@
 	// closeTime is how long a server may take to end that refuses everything: a
 	// refusal takes a millisecond, and callers notice 0.2 s of silence.
 	closeTime = 80 * time.Millisecond
+	// dispatcherGC is the growth of the heap, in percent, between two collections
+	// of a dispatcher: its live heap is a few megabytes, and time is scarcer.
+	dispatcherGC = 400
 	// stopMargin is what a stop keeps of its time to close what is left.
 	stopMargin = 500 * time.Millisecond
 )
@@ -73,6 +77,7 @@
 
 func (n *Node) startDispatcher() error {
 	s := n.settings
+	debug.SetGCPercent(dispatcherGC)
 	scope := n.metrics.Scope.SubScope(config.RoleDispatcher)
 	n.fleet.dispatcher = dispatcher.Start(dispatcher.Options{
 		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone, Seeds: s.Fleet.SeedSessions(),
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -208,12 +208,13 @@
 }
 
 // sendReports sends ends at once, and room that changed at most every
-// reportGap.
+// reportGap for each dispatcher.
 func (l *loop) sendReports(now time.Time, changed bool) {
 	var room *wirepb.Room
+	gap := time.Duration(len(l.dispatchers)) * reportGap
 	for _, d := range l.dispatchers {
 		d.stale = d.stale || changed
-		if len(d.ends) == 0 && (!d.stale || now.Sub(d.reported) < reportGap) {
+		if len(d.ends) == 0 && (!d.stale || now.Sub(d.reported) < gap) {
 			continue
 		}
 		if room == nil {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -16,8 +16,8 @@
 	// SessionHeartbeat and SessionIdle watch the sessions with dispatchers. A
 	// caller that lost its answer may come back to another dispatcher 1.3 s
 	// later: by then the tasks of the silent one must have been stopped.
-	SessionHeartbeat = 150 * time.Millisecond
-	SessionIdle      = 700 * time.Millisecond
+	SessionHeartbeat = 200 * time.Millisecond
+	SessionIdle      = 800 * time.Millisecond
 
 	// leaseSpan is the lease that a call asks for; minions grant 1 s at most.
 	leaseSpan = 900 * time.Millisecond
@@ -46,8 +46,10 @@
 	orderAge = 400 * time.Millisecond
 	// tickInterval is how often waiting runs and stops are looked at.
 	tickInterval = 10 * time.Millisecond
-	// reportGap is the shortest time between two reports of room alone.
-	reportGap = 5 * time.Millisecond
+	// reportGap, for each dispatcher, is the shortest time between two reports
+	// of room alone: the more dispatchers share a minion, the less each report
+	// is worth, and the more they cost in all.
+	reportGap = 2 * time.Millisecond
 	// fenceStep is added to a fencing token that was refused.
 	fenceStep = uint64(time.Minute / time.Millisecond)
 
--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -22,10 +22,11 @@
 	cfg.EnableKeepAlive = false
 	cfg.MaxStreamWindowSize = muxWindowBytes
 	cfg.LogOutput = io.Discard
+	joined := &joiningConn{Conn: conn}
 	if client {
-		return yamux.Client(conn, cfg)
+		return yamux.Client(joined, cfg)
 	}
-	return yamux.Server(conn, cfg)
+	return yamux.Server(joined, cfg)
 }
 
 func secureClient(ctx context.Context, conn net.Conn, cfg *tls.Config) (net.Conn, error) {
