A task waits at a full runner only when there is no room elsewhere

Ruled out: a longer patience (30 ms at least; refusals later than half of the objective at 3 times load). Change: with 8% or more of the room free tasks wait 4 ms.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -86,7 +86,7 @@
 }
 
 func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int) {
-	wait := o.runnerWait(now)
+	wait := d.runnerWait(now, o)
 	batches := map[RunnerID]*Placement{}
 	var order []*Placement
 	for i := range o.tasks[step] {
@@ -119,14 +119,21 @@
 	runnerWait = 40 * time.Millisecond
 	// runnerWaitLeast covers the time of a message.
 	runnerWaitLeast = 4 * time.Millisecond
+	// ampleRoom is the share of free room from which another runner can be
+	// found.
+	ampleRoom = 0.08
 	// answerTime is how long after a task's wait its refusal is here: two
 	// messages and the interval at which runners look at what waits.
 	answerTime = 16 * time.Millisecond
 )
 
-// runnerWait is how long tasks placed now may wait at a runner. A job that may
-// not have begun comes back in time to be refused.
-func (o *openJob) runnerWait(now time.Time) time.Duration {
+// runnerWait is how long tasks placed now may wait at a runner that turns out to
+// be full. With room elsewhere they come back at once. A job that may not have
+// begun comes back in time to be refused.
+func (d *Dispatcher) runnerWait(now time.Time, o *openJob) time.Duration {
+	if free, capacity := d.Load(); float64(free) > ampleRoom*float64(capacity) {
+		return runnerWaitLeast
+	}
 	if o.ran {
 		return runnerWait
 	}
