A dispatcher without processor time refuses at the door; settled runs of a lost runner are placed again

A job whose only run was lost was never placed again after its patience (test TestRunsOfALostRunnerAreSettledByTime failed first). Ruled out: control being away (the other entry hosts served on). Change: while the loop is more than 30 ms late new jobs are refused before they are read (dispatcher_busy); collections turn frequent at 0.55 of the host's memory; reports of room are rarer with more dispatchers.

--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -85,7 +85,7 @@
 	host := values{
 		"node": "host-1", "zone": "z", "ip": "10.1.0.13", "portRange.0": "7720", "portRange.1": "7721",
 		"seeds": []string{"10.1.0.17:8166", "10.2.0.34:8166"}, "bootstrap": "true",
-		"bounds.graceS": "6", "faultTolerance.machines": "2",
+		"bounds.graceS": "6", "limits.memoryMb": "284", "faultTolerance.machines": "2",
 	}
 	cases := map[string]values{
 		config.RoleDispatcher: {"listen.front": "10.1.0.13:8161", "listen.ready": "10.1.0.13:8167"},
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -105,6 +105,7 @@
 	Operators   string   `yaml:"operators" doc:"HTTP address of a control member for operators."`
 	Reports     string   `yaml:"reports" doc:"HTTP address of a runner for its minion."`
 	Minion      string   `yaml:"minion" doc:"Address of the minion beside a runner."`
+	Memory      Bytes    `yaml:"memory" doc:"Memory that the process may use; 0B is not known."`
 }
 
 // TLS names the key files of a process. They are read again when they change.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -317,6 +317,7 @@
 	for step, tasks := range o.tasks {
 		for i := range tasks {
 			if t := &tasks[i]; t.state == doubtful && !now.Before(t.until) {
+				o.ran = true // as far as anybody can tell
 				o.again(step, t)
 				d.enqueue(o)
 			}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,221 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivewing/internal/runtable"
+)
+
+var begin = time.Unix(1000, 0)
+
+func ms(n int) time.Time { return begin.Add(time.Duration(n) * time.Millisecond) }
+
+func room(endpoint string, free int64, labels ...string) Room {
+	return Room{
+		Name: endpoint, Service: "s", Zone: "z", Endpoint: endpoint, Labels: labels,
+		Capacity: Need{CPU: 10_000, Memory: 1000}, Free: Need{CPU: free, Memory: 1000}, Ready: true,
+	}
+}
+
+// fleet returns a dispatcher with two empty minions.
+func fleet() *Dispatcher {
+	d := New("z")
+	d.Report(ms(0), 1, room("m1", 10_000, "a"))
+	d.Report(ms(0), 2, room("m2", 10_000, "b"))
+	return d
+}
+
+func testJob(steps ...Step) *Job {
+	j := &Job{ID: "job", Queue: "q", Service: "s", MaxAttempts: 2, Steps: steps, Arrived: ms(0), Limit: ms(10_000)}
+	j.SetObjective(2, time.Second)
+	return j
+}
+
+func step(count int, cpu int64) Step {
+	return Step{Count: count, Need: Need{CPU: cpu, Memory: 1}, Estimate: 100 * time.Millisecond}
+}
+
+// places are the runners of all tasks placed.
+func places(out Output) map[RunnerID]int {
+	at := map[RunnerID]int{}
+	for _, p := range out.Placements {
+		at[p.Runner] += len(p.Runs)
+	}
+	return at
+}
+
+func ended(out Output, i int, outcome runtable.Outcome, reason string) (RunnerID, TaskEnd) {
+	p := out.Placements[i]
+	return p.Runner, TaskEnd{Ref: p.Runs[0], Outcome: outcome, Reason: reason}
+}
+
+func TestJobsThatNoMinionCanRun(t *testing.T) {
+	cases := []struct {
+		name, service string
+		step          Step
+		reason        string
+	}{
+		{"unknown service", "nobody", step(1, 1), ReasonNoMinion},
+		{"too large", "s", step(1, 10_001), ReasonTooLarge},
+		{"no such label", "s", Step{Count: 1, Label: "x"}, ReasonTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := fleet()
+			j := testJob(c.step)
+			j.Service = c.service
+			d.Submit(ms(0), j)
+			out := d.Take()
+			assert.Equal(t, out.Answers[0].Result, Refused)
+			assert.Equal(t, out.Answers[0].Reason, c.reason)
+			assert.Assert(t, out.Answers[0].RetryAfter >= time.Second)
+			assert.Equal(t, len(out.Placements), 0)
+		})
+	}
+}
+
+func TestTasksGoOnlyWhereTheyMay(t *testing.T) {
+	d := fleet()
+	labelled := step(3, 1000)
+	labelled.Label = "b"
+	d.Submit(ms(0), testJob(labelled))
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{2: 3})
+
+	d = fleet()
+	spread := step(6, 1000)
+	spread.Spread = 2
+	d.Submit(ms(0), testJob(spread))
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 2, 2: 2})
+}
+
+func TestDrainingMinionGetsNothing(t *testing.T) {
+	d := fleet()
+	leaving := room("m1", 10_000)
+	leaving.Ready = false
+	d.Report(ms(1), 1, leaving)
+	d.Submit(ms(2), testJob(step(4, 1000)))
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{2: 4})
+}
+
+// TestStepsInOrder: a step begins when all tasks of those it comes after are
+// done.
+func TestStepsInOrder(t *testing.T) {
+	d := fleet()
+	second := step(1, 1000)
+	second.After = []int{0}
+	d.Submit(ms(0), testJob(step(2, 6000), second))
+	out := d.Take()
+	assert.DeepEqual(t, places(out), map[RunnerID]int{1: 1, 2: 1})
+	id, end := ended(out, 0, runtable.Done, "")
+	d.Ended(ms(100), id, end)
+	assert.Equal(t, len(d.Take().Placements), 0)
+	id, end = ended(out, 1, runtable.Done, "")
+	d.Ended(ms(110), id, end)
+	out = d.Take()
+	assert.Equal(t, out.Placements[0].Step, 1)
+	id, end = ended(out, 0, runtable.Done, "")
+	d.Ended(ms(200), id, end)
+	assert.Equal(t, d.Take().Answers[0].Result, Completed)
+}
+
+// TestAttemptsAreCounted: a task that fails goes elsewhere, and fails its job
+// when its attempts are used up; runs that never ran don't count.
+func TestAttemptsAreCounted(t *testing.T) {
+	d := fleet()
+	d.Submit(ms(0), testJob(step(1, 1000)))
+	out := d.Take()
+	first := out.Placements[0].Runner
+	id, end := ended(out, 0, runtable.NotRun, runtable.ReasonNoRoom)
+	d.Ended(ms(5), id, end)
+	out = d.Take()
+	id, end = ended(out, 0, runtable.Failed, runtable.ReasonFailed)
+	d.Ended(ms(50), id, end)
+	out = d.Take()
+	assert.Assert(t, out.Placements[0].Runner != id, "first %d", first)
+	assert.Equal(t, out.Placements[0].Runs[0].Run, uint32(3))
+	id, end = ended(out, 0, runtable.Failed, runtable.ReasonFailed)
+	d.Ended(ms(90), id, end)
+	answer := d.Take().Answers[0]
+	assert.Equal(t, answer.Result, Failed)
+	assert.Equal(t, answer.Reason, ReasonAttempts)
+}
+
+// TestRunsOfALostRunnerAreSettledByTime: they may be at work until the runner
+// has noticed the silence, or the lease has ended.
+func TestRunsOfALostRunnerAreSettledByTime(t *testing.T) {
+	d := fleet()
+	d.Submit(ms(0), testJob(step(1, 1000)))
+	out := d.Take()
+	d.RunnerLost(ms(100), out.Placements[0].Runner)
+	d.Tick(ms(1000))
+	assert.Equal(t, len(d.Take().Placements), 0)
+	d.Tick(ms(100).Add(settleAfter))
+	out = d.Take()
+	assert.Equal(t, len(out.Placements), 1)
+	assert.Equal(t, out.Placements[0].Runs[0].Run, uint32(2))
+}
+
+// TestRefusalIsTrue: a job of which a run may have begun is not refused.
+func TestRefusalIsTrue(t *testing.T) {
+	d := fleet()
+	d.Report(ms(0), 1, room("m1", 0))
+	d.Report(ms(0), 2, room("m2", 0))
+	d.Submit(ms(0), testJob(step(1, 1000)))
+	d.Tick(ms(5000))
+	assert.Equal(t, d.Take().Answers[0].Result, Refused)
+
+	d = fleet()
+	d.Submit(ms(0), testJob(step(1, 1000)))
+	d.Take()
+	d.Tick(ms(9000))
+	assert.Equal(t, len(d.Take().Answers), 0)
+	d.Tick(ms(10_001))
+	out := d.Take()
+	assert.Equal(t, out.Answers[0].Result, GivenUp)
+	assert.Equal(t, len(out.Stops), 1)
+}
+
+func TestCallerThatLeavesAndStall(t *testing.T) {
+	d := fleet()
+	d.Submit(ms(0), testJob(step(2, 6000)))
+	d.Take()
+	d.Cancel(ms(10), "job")
+	out := d.Take()
+	assert.Equal(t, len(out.Stops), 2)
+	assert.Equal(t, out.Answers[0].Reason, ReasonCallerLeft)
+	d.Submit(ms(20), testJob(step(1, 1000)))
+	d.Take()
+	d.Abandon(ms(3000))
+	assert.Equal(t, d.Take().Answers[0].Reason, ReasonStalled)
+	assert.Equal(t, d.Jobs(), 0)
+}
+
+// TestStaleRoom: tasks on their way count until the runner's report shows them.
+func TestStaleRoom(t *testing.T) {
+	d := New("z")
+	d.Report(ms(0), 1, room("m1", 2000))
+	d.Submit(ms(0), testJob(step(3, 1000)))
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 2})
+	old := room("m1", 2000) // sent before the tasks arrived
+	d.Report(ms(1), 1, old)
+	assert.Equal(t, len(d.Take().Placements), 0)
+	seen := room("m1", 1000)
+	seen.Placed = 2
+	d.Report(ms(2), 1, seen)
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 1})
+}
+
+// TestSuspectMinionGetsProbes: one task at a time while it fails most.
+func TestSuspectMinionGetsProbes(t *testing.T) {
+	d := New("z")
+	sick := room("m1", 10_000)
+	sick.Suspicion = 0.9
+	d.Report(ms(0), 1, sick)
+	d.Submit(ms(0), testJob(step(3, 1000)))
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 1})
+	d.Report(ms(100), 1, sick)
+	assert.Equal(t, len(d.Take().Placements), 0)
+}
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -77,7 +77,8 @@
 			l.checkStall()
 			e.handle(l, time.Now())
 			l.drain()
-		case <-ticker.C:
+		case due := <-ticker.C:
+			l.checkLag(time.Since(due))
 			l.tick()
 		case <-l.p.quit:
 			return
@@ -106,6 +107,21 @@
 	l.metrics.queued.Update(float64(l.core.Waiting()))
 }
 
+// checkLag closes the door while the loop runs late: the processor is used up,
+// and refusing costs a fraction of what serving does.
+func (l *loop) checkLag(lag time.Duration) {
+	busy := l.p.busy.Load()
+	switch {
+	case !busy && lag > busyLag:
+		l.p.busy.Store(true)
+	case busy && lag < calmLag:
+		l.p.busy.Store(false)
+	default:
+		return
+	}
+	l.p.opts.Log.Info("busy", "busy", !busy, "lag_ms", lag.Milliseconds(), "jobs", l.core.Jobs(), "events", len(l.p.events))
+}
+
 // checkStall gives all jobs up after a pause of the process.
 func (l *loop) checkStall() {
 	now := steadytime.Now()
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -25,6 +25,11 @@
 const (
 	// tickInterval is how often waiting jobs are looked at.
 	tickInterval = 10 * time.Millisecond
+	// busyLag is how late the loop may be before new jobs are refused, and
+	// calmLag how little late it has to be again: the shortest objectives leave
+	// some 80 ms besides the work.
+	busyLag = 30 * time.Millisecond
+	calmLag = 10 * time.Millisecond
 	// stallAfter is a pause of the process after which its jobs are given up:
 	// the runners have stopped their tasks, and callers may have gone elsewhere.
 	stallAfter = 900 * time.Millisecond
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -27,6 +27,8 @@
 	runners atomic.Int64
 	// leaving: the process takes no more work.
 	leaving atomic.Bool
+	// busy: the process has no processor time for more work.
+	busy atomic.Bool
 	// refusing: new jobs are refused.
 	refusing atomic.Bool
 	open     sync.WaitGroup
@@ -116,6 +118,10 @@
 	}
 }
 
+// Busy tells whether the process has no time for more work: a job taken now
+// would wait here, whatever room there is at minions.
+func (p *Process) Busy() bool { return p.busy.Load() }
+
 // Pending is the number of jobs of a queue that have not begun here.
 func (p *Process) Pending(queue string) int {
 	answer := make(chan int, 1)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -33,6 +33,9 @@
 	// dispatcherGC is the growth of the heap, in percent, between two collections
 	// of a dispatcher: its live heap is a few megabytes, and time is scarcer.
 	dispatcherGC = 400
+	// memoryShare of the host's memory is where collections become frequent:
+	// the rest is for what the runtime does not count.
+	memoryShare = 0.55
 	// stopMargin is what a stop keeps of its time to close what is left.
 	stopMargin = 500 * time.Millisecond
 )
@@ -78,6 +81,9 @@
 func (n *Node) startDispatcher() error {
 	s := n.settings
 	debug.SetGCPercent(dispatcherGC)
+	if s.Fleet.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Fleet.Memory) * memoryShare))
+	}
 	scope := n.metrics.Scope.SubScope(config.RoleDispatcher)
 	n.fleet.dispatcher = dispatcher.Start(dispatcher.Options{
 		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone, Seeds: s.Fleet.SeedSessions(),
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -208,10 +208,10 @@
 }
 
 // sendReports sends ends at once, and room that changed at most every
-// reportGap for each dispatcher.
+// reportGap times the square of the number of dispatchers.
 func (l *loop) sendReports(now time.Time, changed bool) {
 	var room *wirepb.Room
-	gap := time.Duration(len(l.dispatchers)) * reportGap
+	gap := time.Duration(len(l.dispatchers)*len(l.dispatchers)) * reportGap
 	for _, d := range l.dispatchers {
 		d.stale = d.stale || changed
 		if len(d.ends) == 0 && (!d.stale || now.Sub(d.reported) < gap) {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -46,10 +46,10 @@
 	orderAge = 400 * time.Millisecond
 	// tickInterval is how often waiting runs and stops are looked at.
 	tickInterval = 10 * time.Millisecond
-	// reportGap, for each dispatcher, is the shortest time between two reports
-	// of room alone: the more dispatchers share a minion, the less each report
-	// is worth, and the more they cost in all.
-	reportGap = 2 * time.Millisecond
+	// reportGap times the square of the number of dispatchers is the shortest
+	// time between two reports of room alone. With more dispatchers there are
+	// more runners to report, and more of them to choose from.
+	reportGap = time.Millisecond
 	// fenceStep is added to a fencing token that was refused.
 	fenceStep = uint64(time.Minute / time.Millisecond)
 
