--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -133,7 +133,6 @@
 const (
 	ReasonAttempts   = "attempts_used_up"
 	ReasonNoRoom     = "no_room_in_time"
-	ReasonBacklog    = "backlog_too_long"
 	ReasonTooLarge   = "larger_than_any_minion"
 	ReasonNoMinion   = "no_minion"
 	ReasonOverdue    = "overdue"
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -18,8 +18,8 @@
 
 func (e submitted) handle(l *loop, now time.Time) {
 	if l.waits[e.job.ID] != nil {
-		// The caller's earlier request is gone, or will be: the job begins
-		// anew once its tasks are stopped.
+		// The caller's earlier request is still served here. Once it is over the
+		// job may begin anew.
 		e.answer <- dispatch.Answer{Job: e.job, Result: dispatch.GivenUp, Reason: dispatch.ReasonDuplicate}
 		return
 	}
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -160,11 +160,11 @@
 type stopAsked struct{ idle chan<- struct{} }
 
 func (e stopAsked) handle(l *loop, now time.Time) {
-	if l.stopping != nil {
+	if l.stopping {
 		return
 	}
 	l.p.opts.Log.Info("runner stopping", "running", l.table.Running())
-	l.stopping = e.idle
+	l.stopping, l.idle = true, e.idle
 	l.describe(now)
 	l.markStale()
 }
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -36,8 +36,10 @@
 	reached   bool
 	holdError string
 	// doubted is when a call to the minion last went unanswered.
-	doubted  time.Time
-	stopping chan<- struct{}
+	doubted time.Time
+	// stopping: no more tasks are taken; idle is closed once none is left.
+	stopping bool
+	idle     chan<- struct{}
 
 	metrics loopMetrics
 }
@@ -146,7 +148,7 @@
 		l.p.opts.Log.Info("minion reachable", "endpoint", l.life.Endpoint, "reachable", reached,
 			"silent_ms", now.Sub(l.lease.told).Milliseconds(), "last_error", l.holdError)
 	}
-	ready := l.life.known && !l.life.Draining && l.stopping == nil && l.lease.reachable(now)
+	ready := l.life.known && !l.life.Draining && !l.stopping && l.lease.reachable(now)
 	l.table.Describe(now, l.life.Capacity, ready)
 }
 
@@ -167,9 +169,9 @@
 	}
 	l.poll(now)
 	l.sendReports(now, l.offerChanged())
-	if l.stopping != nil && l.table.Open() == 0 {
-		close(l.stopping)
-		l.stopping = make(chan struct{}) // closed once
+	if l.stopping && l.idle != nil && l.table.Open() == 0 {
+		close(l.idle)
+		l.idle = nil
 	}
 }
 
