Jobs whose tasks need memory alone, or nothing, begin too

Cause: read in the diff: the room for all tasks of a job was counted by processor only, so jobs below the first priority that need none would have waited until they were refused. Change: room is counted by every part of a need; runners that take no work don't count. The test failed first.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -219,3 +219,24 @@
 	d.Report(ms(100), 1, sick)
 	assert.Equal(t, len(d.Take().Placements), 0)
 }
+
+// TestNeedsOfEveryKindBegin: jobs below the first priority wait for room for
+// all their tasks; tasks may need memory alone, or nothing.
+func TestNeedsOfEveryKindBegin(t *testing.T) {
+	for _, need := range []Need{{}, {Memory: 400}, {CPU: 4000}, {CPU: 4000, Memory: 1}} {
+		d := fleet()
+		j := testJob(Step{Count: 4, Need: need, Estimate: 100 * time.Millisecond})
+		j.Priority = 1
+		d.Submit(ms(0), j)
+		total := 0
+		for _, n := range places(d.Take()) {
+			total += n
+		}
+		assert.Equal(t, total, 4, "%+v", need)
+	}
+	d := fleet()
+	j := testJob(step(5, 4000))
+	j.Priority = 1
+	d.Submit(ms(0), j)
+	assert.Equal(t, len(d.Take().Placements), 0)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -46,8 +46,8 @@
 		s := &o.Steps[step]
 		left := int64(o.waiting[step])
 		for _, r := range d.order {
-			if r.serves(o.Service, s) && s.Need.CPU > 0 {
-				left -= max(r.Free.CPU, 0) / s.Need.CPU
+			if r.Ready && r.serves(o.Service, s) {
+				left -= s.Need.Times(r.Free, left)
 			}
 		}
 		if left > 0 {
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -20,6 +20,16 @@
 	return n.CPU <= free.CPU && n.Memory <= free.Memory && n.GPUs <= free.GPUs
 }
 
+// Times is how often a need has room in what is free, at most the given number.
+func (n Need) Times(free Need, most int64) int64 {
+	for _, part := range [][2]int64{{n.CPU, free.CPU}, {n.Memory, free.Memory}, {n.GPUs, free.GPUs}} {
+		if need, left := part[0], part[1]; need > 0 {
+			most = min(most, max(left, 0)/need)
+		}
+	}
+	return most
+}
+
 // Plus adds two needs.
 func (n Need) Plus(o Need) Need {
 	return Need{n.CPU + o.CPU, n.Memory + o.Memory, n.GPUs + o.GPUs}
