--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -47,10 +47,18 @@
 type loopMetrics struct {
 	scope        tally.Scope
 	placed       tally.Counter
+	took         map[dispatch.Result]tally.Histogram
 	open, queued tally.Gauge
 }
 
+// tookBuckets reach from 10 ms to some 8 s.
+var tookBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.6, 15)
+
 func newLoop(p *Process) *loop {
+	took := map[dispatch.Result]tally.Histogram{}
+	for result, word := range resultWords {
+		took[result] = p.opts.Scope.Tagged(map[string]string{"outcome": word}).Histogram("job_seconds", tookBuckets)
+	}
 	return &loop{
 		p:        p,
 		core:     dispatch.New(p.opts.Zone),
@@ -61,6 +69,7 @@
 		metrics: loopMetrics{
 			scope:  p.opts.Scope,
 			placed: p.opts.Scope.Counter("tasks_placed"),
+			took:   took,
 			open:   p.opts.Scope.Gauge("jobs_open"),
 			queued: p.opts.Scope.Gauge("jobs_waiting"),
 		},
@@ -198,6 +207,7 @@
 	tags := map[string]string{"outcome": resultWords[a.Result], "reason": a.Reason}
 	l.metrics.scope.Tagged(tags).Counter("jobs").Inc(1)
 	now := time.Now()
+	l.metrics.took[a.Result].RecordDuration(now.Sub(a.Job.Arrived))
 	late := now.After(a.Job.Objective)
 	if a.Result != dispatch.Completed || late {
 		free, capacity := l.core.Load()
