Read-through: one way to refuse an order, no unused argument

Read as a newcomer: Table had refuse and Refuse that did the same, and retryAfter took a time that it did not use. No behaviour changes; unit tests and go test ./platform pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -265,7 +265,7 @@
 		a.Waited = now.Sub(o.Arrived)
 	}
 	if result == Refused {
-		a.RetryAfter = d.retryAfter(now)
+		a.RetryAfter = d.retryAfter()
 	}
 	d.out.Answers = append(d.out.Answers, a)
 }
@@ -283,7 +283,7 @@
 }
 
 // retryAfter is when a refused caller may come back: later the more waits.
-func (d *Dispatcher) retryAfter(time.Time) time.Duration {
+func (d *Dispatcher) retryAfter() time.Duration {
 	var backlog, capacity float64
 	for _, o := range d.queue {
 		for i, n := range o.waiting {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -135,10 +135,10 @@
 	}
 	switch {
 	case !t.Ready():
-		t.refuse(o, ReasonNotReady)
+		t.Refuse(o, ReasonNotReady)
 		return
 	case !o.Need.Fits(t.capacity):
-		t.refuse(o, ReasonTooLarge)
+		t.Refuse(o, ReasonTooLarge)
 		return
 	}
 	r := &run{Order: o}
@@ -161,16 +161,14 @@
 		return
 	}
 	t.stop(now, r, ReasonStopped)
-	t.refuse(o, ReasonDuplicate)
+	t.Refuse(o, ReasonDuplicate)
 }
 
-func (t *Table) refuse(o Order, reason string) {
+// Refuse answers an order that is not taken in.
+func (t *Table) Refuse(o Order, reason string) {
 	t.out.Ends = append(t.out.Ends, End{Name: o.Name, Run: o.Run, Owner: o.Owner, Outcome: NotRun, Reason: reason})
 }
 
-// Refuse answers an order that is not taken in at all.
-func (t *Table) Refuse(o Order, reason string) { t.refuse(o, reason) }
-
 // Stop ends a run; 0 stands for any run of the task.
 func (t *Table) Stop(now time.Time, owner Owner, name Name, number uint32) {
 	r := t.runs[name]
