wire: the end of a context ends a handshake; own pauses are no silence

Ruled out: that the dial's 150 ms also bound the handshake (they did not; they bound only the connection, and still do: Options.Connect). Change: Dial ends with its context at any stage; idleWatch is apart from I/O, and with PatientIdle a late look starts the silence anew. Runners stay strict: they have to stop what a silent dispatcher ordered before its callers ask elsewhere.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -13,7 +13,7 @@
 const (
 	redialFirst = 20 * time.Millisecond
 	redialMost  = 250 * time.Millisecond
-	// peerDial bounds one dial: a host without power answers nothing.
+	// peerDial bounds one connection: a host without power answers nothing.
 	peerDial = 150 * time.Millisecond
 )
 
@@ -32,6 +32,7 @@
 }
 
 func newPeers(self uint64, opts wire.Options) *peers {
+	opts.Connect = peerDial
 	return &peers{self: self, opts: opts, links: map[uint64]*link{}, inbound: map[uint64]*wire.Session{}}
 }
 
@@ -150,9 +151,7 @@
 	defer close(l.ended)
 	wait := redialFirst
 	for ctx.Err() == nil {
-		dialing, cancel := context.WithTimeout(ctx, peerDial)
-		s, err := wire.Dial(dialing, l.address, l.opts)
-		cancel()
+		s, err := wire.Dial(ctx, l.address, l.opts)
 		if err == nil {
 			wait = redialFirst
 			l.serve(ctx, s)
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -159,15 +159,14 @@
 // serve keeps one session until it ends.
 func (c *Client) serve(m *member) {
 	opts := c.opts.Wire
-	opts.Heartbeat, opts.Idle = SessionHeartbeat, SessionIdle
+	opts.Connect, opts.Heartbeat, opts.Idle = dialTimeout, SessionHeartbeat, SessionIdle
+	opts.PatientIdle = true
 	opts.Handler = func(_ *wire.Session, e *wirepb.Envelope) {
 		if update := e.GetDirectoryUpdate(); update != nil {
 			c.take(m, update)
 		}
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
-	s, err := wire.Dial(ctx, m.address, opts)
-	cancel()
+	s, err := wire.Dial(c.ctx, m.address, opts)
 	if err != nil {
 		return
 	}
--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -93,16 +93,16 @@
 // serve keeps one session until it ends.
 func (l *links) serve(k *link) {
 	opts := wire.Options{
-		Hello:     l.p.opts.hello,
-		Handler:   l.p.onEnvelope,
-		Heartbeat: runner.SessionHeartbeat,
-		Idle:      runner.SessionIdle,
-		Scope:     l.p.opts.Scope,
-		Log:       l.p.opts.Log,
+		Hello:       l.p.opts.hello,
+		Handler:     l.p.onEnvelope,
+		Connect:     dialTimeout,
+		Heartbeat:   runner.SessionHeartbeat,
+		Idle:        runner.SessionIdle,
+		PatientIdle: true,
+		Scope:       l.p.opts.Scope,
+		Log:         l.p.opts.Log,
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
-	s, err := wire.Dial(ctx, k.address, opts)
-	cancel()
+	s, err := wire.Dial(l.ctx, k.address, opts)
 	if err != nil {
 		l.p.opts.Log.V(1).Info("runner not reached", "runner", k.name, "address", k.address, "error", err.Error())
 		return
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -32,19 +32,20 @@
 	done      chan struct{}
 }
 
-// Dial connects to a peer's listener. The error wraps ErrWrongVersion or
-// ErrWrongCluster when the peer does not fit.
+// Dial connects to a peer's listener; the end of ctx ends the attempt at any
+// stage. The error wraps ErrWrongVersion or ErrWrongCluster when the peer does
+// not fit.
 func Dial(ctx context.Context, address string, opts Options) (*Session, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout}
+	dialer := net.Dialer{Timeout: opts.connect()}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
-	conn, err = secureClient(ctx, conn, opts.TLS)
-	if err != nil {
-		return nil, eris.Wrapf(err, "secure %s", address)
+	keep := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s, err := handshake(ctx, conn, opts)
+	if !keep() && ctx.Err() != nil {
+		err = ctx.Err()
 	}
-	s, err := newSession(conn, opts, true)
 	if err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrapf(err, "handshake with %s", address)
@@ -52,6 +53,15 @@
 	return s, nil
 }
 
+// handshake makes a session of a new connection.
+func handshake(ctx context.Context, conn net.Conn, opts Options) (*Session, error) {
+	conn, err := secureClient(ctx, conn, opts.TLS)
+	if err != nil {
+		return nil, eris.Wrap(err, "secure")
+	}
+	return newSession(conn, opts, true)
+}
+
 // newSession runs the handshake on conn.
 func newSession(conn net.Conn, opts Options, client bool) (*Session, error) {
 	deadline := time.Now().Add(handshakeTimeout)
@@ -162,13 +172,15 @@
 func (s *Session) watchIdle() {
 	tick := time.NewTicker(s.opts.heartbeat())
 	defer tick.Stop()
+	watch := newIdleWatch(&s.opts, time.Now())
 	for {
 		select {
 		case <-s.done:
 			return
-		case now := <-tick.C:
-			if now.UnixNano()-s.received.Load() > int64(s.opts.idle()) {
-				s.opts.Log.Info("session silent, closing", "peer", s.peer.GetName())
+		case <-tick.C:
+			now := time.Now()
+			if silence, over := watch.look(now, time.Unix(0, s.received.Load())); over {
+				s.opts.Log.Info("session silent, closing", "peer", s.peer.GetName(), "silent_ms", silence.Milliseconds())
 				s.meter.dropped("silent_session")
 				s.Close()
 				return
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,6 +70,8 @@
 
 func (o *Options) heartbeat() time.Duration { return cmp.Or(o.Heartbeat, heartbeatInterval) }
 
+func (o *Options) connect() time.Duration { return cmp.Or(o.Connect, handshakeTimeout) }
+
 func (o *Options) idle() time.Duration { return cmp.Or(o.Idle, IdleTimeout) }
 
 // Handler receives each message of a peer. It is called from one goroutine
@@ -87,12 +89,19 @@
 	Closed func(s *Session)
 	// TLS secures the sessions when set.
 	TLS *tls.Config
+	// Connect bounds how long Dial waits for the connection, before the
+	// handshake; 0 is handshakeTimeout.
+	Connect time.Duration
 	// Heartbeat is how long nothing is sent before a heartbeat is; 0 is
 	// heartbeatInterval.
 	Heartbeat time.Duration
 	// Idle is how long nothing may arrive before the session is closed; 0 is
 	// IdleTimeout.
 	Idle time.Duration
+	// PatientIdle: time in which this process had no processor time does not
+	// count as silence of the peer, whose messages wait in the kernel. It is for
+	// sessions on whose end nobody has to act at a known time.
+	PatientIdle bool
 	// Scope receives the counts of messages and bytes by kind.
 	Scope tally.Scope
 	Log   logr.Logger
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -77,6 +77,30 @@
 	assert.Equal(t, fault.Fault.Leader, "x:1")
 }
 
+// TestEndOfContextEndsTheHandshake: a host that accepts a connection and then
+// says nothing, such as one that is suspended, does not hold a stop up.
+func TestEndOfContextEndsTheHandshake(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, silent.Close()) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hello := make(chan struct{})
+	opts := testOptions("c", ignore)
+	opts.Hello = func() *wirepb.Hello {
+		close(hello) // the connection is there
+		return &wirepb.Hello{Cluster: "c"}
+	}
+	dialed := make(chan error, 1)
+	go func() {
+		_, err := Dial(ctx, silent.Addr().String(), opts)
+		dialed <- err
+	}()
+	<-hello
+	cancel()
+	assert.ErrorIs(t, <-dialed, context.Canceled)
+}
+
 func TestCallEndsWithTheSession(t *testing.T) {
 	hangUp := func(s *Session, _ *wirepb.Envelope) { s.Close() }
 	s := startPair(t, testOptions("c", hangUp), testOptions("c", ignore))
