Dispatcher: one look at what waits for many events; room reported by the number of runners

Change: Take looks at what waits once for all events since the last; a bound on the free room spares the look at every runner; the loop reads the clock after 64 events; jobs are reviewed as a whole every 50 ms, those that wait at each tick; what comes back as not run after the job's patience is refused at once, not at the next tick. Runners report room alone every 75 us times the square of their number, 250 ms at most (before: 1 ms times the square of the number of dispatchers); readiness and capacity at once. Test: TestEventsShareOneLookAtWhatWaits fails without it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,7 +34,12 @@
 	jobs  map[string]*openJob
 	// queue are the jobs with tasks to place, the most urgent first.
 	queue []*openJob
-	out   Output
+	// stirred is when work or room last came; zero when waiting tasks have been
+	// looked at since.
+	stirred time.Time
+	// reviewed is when all open jobs were last looked at.
+	reviewed time.Time
+	out      Output
 }
 
 // New returns a dispatcher in a zone.
@@ -42,8 +47,14 @@
 	return &Dispatcher{zone: zone, runners: map[RunnerID]*runner{}, jobs: map[string]*openJob{}}
 }
 
-// Take returns what is to be done and forgets it.
+// Take places waiting tasks, returns what is to be done and forgets it. Under
+// load many events come between two calls: one look at the waiting tasks does
+// for all of them.
 func (d *Dispatcher) Take() Output {
+	if !d.stirred.IsZero() {
+		d.place(d.stirred)
+		d.stirred = time.Time{}
+	}
 	out := d.out
 	d.out = Output{}
 	return out
@@ -102,7 +113,7 @@
 	}
 	d.jobs[j.ID] = o
 	d.enqueue(o)
-	d.place(now)
+	d.stirred = now
 }
 
 // impossible is the reason why no known minion can run a job, or "".
@@ -158,7 +169,7 @@
 		slices.SortFunc(d.order, func(a, b *runner) int { return int(a.id) - int(b.id) })
 	}
 	r.update(room)
-	d.place(now)
+	d.stirred = now
 }
 
 // RunnerLost notes the end of a runner's session. What ran there may still be
@@ -223,10 +234,13 @@
 		}
 		o.again(step, t)
 	}
+	if d.refuseLate(now, o) {
+		return
+	}
 	if o.hungry() {
 		d.enqueue(o)
 	}
-	d.place(now)
+	d.stirred = now
 }
 
 func (d *Dispatcher) endpoint(id RunnerID) string {
@@ -300,12 +314,22 @@
 	return min(max(wait, retryLeast), retryMost)
 }
 
+// reviewInterval is how often all open jobs are looked at; those that wait are
+// at every tick.
+const reviewInterval = 50 * time.Millisecond
+
 // Tick refuses what has waited too long and settles doubtful runs.
 func (d *Dispatcher) Tick(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
-		d.review(now, d.jobs[id])
+	for _, o := range slices.Clone(d.queue) {
+		d.refuseLate(now, o)
 	}
-	d.place(now)
+	if now.Sub(d.reviewed) >= reviewInterval {
+		d.reviewed = now
+		for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
+			d.review(now, d.jobs[id])
+		}
+	}
+	d.stirred = now
 }
 
 // patience is when a job that has not begun is refused.
@@ -313,6 +337,16 @@
 	return o.Arrived.Add(time.Duration(patienceShare * float64(o.Objective.Sub(o.Arrived))))
 }
 
+// refuseLate refuses a job of which nothing has run when its patience is over.
+func (d *Dispatcher) refuseLate(now time.Time, o *openJob) bool {
+	if o.touched() || !now.After(o.patience()) {
+		return false
+	}
+	d.answer(now, o, Refused, ReasonNoRoom)
+	return true
+}
+
+// review settles the doubtful runs of a job and gives up an overdue one.
 func (d *Dispatcher) review(now time.Time, o *openJob) {
 	for step, tasks := range o.tasks {
 		for i := range tasks {
@@ -323,10 +357,7 @@
 			}
 		}
 	}
-	switch {
-	case !o.touched() && now.After(o.patience()):
-		d.answer(now, o, Refused, ReasonNoRoom)
-	case now.After(o.Limit):
+	if now.After(o.Limit) {
 		d.answer(now, o, GivenUp, ReasonOverdue)
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -240,3 +241,35 @@
 	d.Submit(ms(0), j)
 	assert.Equal(t, len(d.Take().Placements), 0)
 }
+
+// TestEventsShareOneLookAtWhatWaits: many jobs wait while reports come one
+// after the other; only the next Take looks at all that waits.
+func TestEventsShareOneLookAtWhatWaits(t *testing.T) {
+	d := New("z")
+	d.Report(ms(0), 1, room("m1", 0))
+	for i := range 100 {
+		j := testJob(step(1, 1000))
+		j.ID = fmt.Sprintf("job-%03d", i)
+		d.Submit(ms(0), j)
+	}
+	for i := range 10 {
+		d.Report(ms(1), 1, room("m1", int64(1000*i)))
+		assert.Equal(t, len(d.out.Placements), 0)
+	}
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 9})
+	assert.Equal(t, len(d.Take().Placements), 0)
+}
+
+// TestRoomOfOneServiceIsNotAnothers: what bounds a service's room is told apart.
+func TestRoomOfOneServiceIsNotAnothers(t *testing.T) {
+	d := fleet()
+	other := room("m3", 500)
+	other.Service = "other"
+	d.Report(ms(0), 3, other)
+	for _, service := range []string{"other", "s", "other"} {
+		j := testJob(step(1, 1000))
+		j.Service, j.ID = service, fmt.Sprint(service, len(d.jobs))
+		d.Submit(ms(0), j)
+	}
+	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 1})
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -23,40 +23,91 @@
 	if len(d.queue) == 0 {
 		return
 	}
+	free := freeRoom{runners: d.order}
 	for _, o := range d.inOrder(now) {
-		if o.Priority >= wholePriority && !o.touched() && !d.roomFor(o) {
+		if !d.mayFit(o, &free) || !o.mayPlace(now) {
 			continue
 		}
-		if !o.mayPlace(now) {
+		if o.Priority >= wholePriority && !o.touched() && !d.roomFor(o) {
 			continue
 		}
 		d.placeJob(now, o)
+		free.known = false
 		if !o.hungry() {
 			d.dequeue(o)
 		}
 	}
 }
 
-// roomFor tells whether all waiting tasks of a job have room now.
-func (d *Dispatcher) roomFor(o *openJob) bool {
+// freeRoom bounds what the runners of one service can take. When there is no
+// room and many jobs wait, it tells so without a look at every runner for each.
+type freeRoom struct {
+	runners []*runner
+	service string
+	known   bool
+	// most is the most of each kind of room that one runner has free; cpu is
+	// what all have, in thousandths of a core.
+	most Need
+	cpu  int64
+}
+
+func (f *freeRoom) of(service string) {
+	if f.known && f.service == service {
+		return
+	}
+	f.known, f.service, f.most, f.cpu = true, service, Need{}, 0
+	for _, r := range f.runners {
+		if !r.Ready || r.Service != service {
+			continue
+		}
+		f.most.CPU = max(f.most.CPU, r.Free.CPU)
+		f.most.Memory = max(f.most.Memory, r.Free.Memory)
+		f.most.GPUs = max(f.most.GPUs, r.Free.GPUs)
+		f.cpu += max(r.Free.CPU, 0)
+	}
+}
+
+// mayFit tells whether a waiting task of a job may find room now, and for a job
+// that begins whole, whether all may.
+func (d *Dispatcher) mayFit(o *openJob, free *freeRoom) bool {
+	free.of(o.Service)
+	fits := false
+	var asked int64
 	for step := range o.Steps {
 		if o.waiting[step] == 0 || !o.ready(step) {
 			continue
 		}
-		s := &o.Steps[step]
-		left := int64(o.waiting[step])
-		for _, r := range d.order {
-			if r.Ready && r.serves(o.Service, s) {
-				left -= s.Need.Times(r.Free, left)
-			}
-		}
-		if left > 0 {
+		need := o.Steps[step].Need
+		fits = fits || need.Fits(free.most)
+		asked += need.CPU * int64(o.waiting[step])
+	}
+	return fits && (o.Priority < wholePriority || o.touched() || asked <= free.cpu)
+}
+
+// roomFor tells whether all waiting tasks of a job have room now.
+func (d *Dispatcher) roomFor(o *openJob) bool {
+	for step := range o.Steps {
+		if o.waiting[step] > 0 && o.ready(step) && !d.stepFits(o, step) {
 			return false
 		}
 	}
 	return true
 }
 
+func (d *Dispatcher) stepFits(o *openJob, step int) bool {
+	s := &o.Steps[step]
+	left := int64(o.waiting[step])
+	for _, r := range d.order {
+		if !r.Ready || !r.serves(o.Service, s) {
+			continue
+		}
+		if left -= s.Need.Times(r.Free, left); left <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // inOrder returns the waiting jobs, the most urgent first: those that can still
 // meet their objective by the latest time to begin; before them late ones that
 // little is left of, after them the other late ones. Under more load than there
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"endivewing/internal/runtable"
@@ -45,8 +47,19 @@
 	seconds      int
 	// slow is how much longer tasks take at the first runner.
 	slow float64
+	// runners and dispatchers are their numbers; the load grows with the
+	// runners. 0 is that of the users' first deployments.
+	runners, dispatchers int
+	// gap is the least time between two reports of room without ends.
+	gap time.Duration
 }
 
+const (
+	dailyRunners     = 11
+	dailyDispatchers = 3
+	mostDispatchers  = 8
+)
+
 // outcomeOf is what came of a replayed load.
 type outcomeOf struct {
 	asked, inTime, late, refused int
@@ -60,6 +73,8 @@
 	used, useful float64
 	// kept are the shares of jobs in time by priority.
 	kept [3]float64
+	// messages is the number of messages of dispatchers a job.
+	messages float64
 }
 
 // world replays a load in virtual time: three dispatchers, eleven runners with
@@ -78,6 +93,9 @@
 	slow    float64
 	useful  float64
 	askedOf [3]int
+	gap     time.Duration
+	// messages counts those that dispatchers sent and received.
+	messages int
 }
 
 type simJob struct {
@@ -96,7 +114,12 @@
 	began  map[runtable.Ref]time.Time
 	ends   []runtable.EndedRow
 	number uint64
-	placed [3]uint64
+	placed [mostDispatchers]uint64
+	// told is when each dispatcher was last told of the room; stale ones are to
+	// be told.
+	told  [mostDispatchers]time.Time
+	stale [mostDispatchers]bool
+	offer Need
 }
 
 type event struct {
@@ -129,14 +152,20 @@
 
 // replay runs a load to its end.
 func replay(spec loadSpec) outcomeOf {
-	w := &world{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(spec.seed, 7)), jobs: map[string]*simJob{}, slow: spec.slow}
-	for range 3 {
+	spec.runners = cmp.Or(spec.runners, dailyRunners)
+	spec.dispatchers = cmp.Or(spec.dispatchers, dailyDispatchers)
+	w := &world{
+		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(spec.seed, 7)), jobs: map[string]*simJob{},
+		slow: spec.slow, gap: spec.gap,
+	}
+	for range spec.dispatchers {
 		w.cores = append(w.cores, New("z"))
 	}
-	for i := range 11 {
+	for i := range spec.runners {
 		w.addRunner(i)
 	}
 	for _, c := range daily {
+		c.perSecond *= float64(spec.runners) / dailyRunners
 		w.arrive(spec, c)
 	}
 	w.every(10*time.Millisecond, func() {
@@ -165,6 +194,7 @@
 	}
 	w.out.used /= float64((spec.seconds - 2) * 50)
 	w.out.useful = w.useful / w.capacity() / float64(spec.seconds)
+	w.out.messages = float64(w.messages) / float64(w.out.asked)
 	return w.out
 }
 
@@ -209,6 +239,7 @@
 	r.table.Listed(w.now, runtable.Listing{Asked: w.now})
 	r.table.Take()
 	w.runners = append(w.runners, r)
+	r.stale = [mostDispatchers]bool{true, true, true, true, true, true, true, true}
 	w.flushRunner(r)
 	w.every(50*time.Millisecond, func() { w.list(r) })
 	w.every(10*time.Millisecond, func() {
@@ -273,6 +304,7 @@
 // carryOut sends what a dispatcher decided.
 func (w *world) carryOut(core int) {
 	out := w.cores[core].Take()
+	w.messages += len(out.Placements) + len(out.Stops)
 	for _, p := range out.Placements {
 		w.after(hop, func() { w.placed(core, p) })
 	}
@@ -335,23 +367,32 @@
 		r.table.StopAnswered(w.now, ref)
 		w.after(5*time.Millisecond, func() { w.finish(r, ref, runtable.Stopped) })
 	}
+	offer := r.table.Free()
+	changed := offer != r.offer
+	r.offer = offer
 	for core := range w.cores {
-		w.reportTo(core, r, out.Ends)
+		w.reportTo(core, r, out.Ends, changed)
 	}
 }
 
-func (w *world) reportTo(core int, r *simRunner, ends []runtable.End) {
+// reportTo sends a dispatcher its ends at once, and room alone after a gap.
+func (w *world) reportTo(core int, r *simRunner, all []runtable.End, changed bool) {
+	ends := slices.DeleteFunc(slices.Clone(all), func(e runtable.End) bool { return e.Owner != runtable.Owner(core+1) })
+	r.stale[core] = r.stale[core] || changed
+	if len(ends) == 0 && (!r.stale[core] || w.now.Sub(r.told[core]) < w.gap) {
+		return
+	}
+	r.stale[core], r.told[core] = false, w.now
+	w.messages++
 	room := Room{
 		Name: fmt.Sprint(r.id), Service: "s", Zone: "z", Endpoint: fmt.Sprint(r.id), Capacity: r.table.Capacity(),
 		Free: r.table.Free(), Ready: true, Placed: r.placed[core], Pace: r.table.Pace(), Suspicion: r.table.Suspicion(),
 	}
 	w.after(hop, func() {
 		for _, e := range ends {
-			if e.Owner == runtable.Owner(core+1) {
-				w.cores[core].Ended(w.now, RunnerID(r.id), TaskEnd{
-					Ref: runtable.Ref{Name: e.Name, Run: e.Run}, Outcome: e.Outcome, Reason: e.Reason, Ran: e.Ran,
-				})
-			}
+			w.cores[core].Ended(w.now, RunnerID(r.id), TaskEnd{
+				Ref: runtable.Ref{Name: e.Name, Run: e.Run}, Outcome: e.Outcome, Reason: e.Reason, Ran: e.Ran,
+			})
 		}
 		w.cores[core].Report(w.now, RunnerID(r.id), room)
 		w.carryOut(core)
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -96,9 +96,10 @@
 	}
 }
 
-// drain takes the events that wait, so that they share their messages.
+// drain takes events that wait, so that they share a look at the waiting tasks
+// and their messages.
 func (l *loop) drain() {
-	for range eventQueue {
+	for range eventBatch {
 		select {
 		case e := <-l.p.events:
 			e.handle(l, time.Now())
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -44,6 +44,9 @@
 	forgetRunner = 15 * time.Second
 
 	eventQueue = 2048
+	// eventBatch bounds the events between two looks at the clock: some 2 ms of
+	// work.
+	eventBatch = 64
 )
 
 // Options are the settings of a dispatcher.
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -50,6 +50,17 @@
 	free, capacity runtable.Need
 }
 
+// offerChange is how an offer differs from an earlier one.
+type offerChange uint8
+
+const (
+	offerSame offerChange = iota
+	// roomDiffers: only the free room does.
+	roomDiffers
+	// offerDiffers: readiness or capacity do; dispatchers have to know at once.
+	offerDiffers
+)
+
 // life is the minion's present life; the zero value is none.
 type life struct {
 	Report
@@ -168,20 +179,25 @@
 		l.look(now)
 	}
 	l.poll(now)
-	l.sendReports(now, l.offerChanged())
+	l.sendReports(now, l.offerChange())
 	if l.stopping && l.idle != nil && l.table.Open() == 0 {
 		close(l.idle)
 		l.idle = nil
 	}
 }
 
-// offerChanged tells that the room or the readiness differs from what was told
-// last.
-func (l *loop) offerChanged() bool {
-	now := offer{ready: l.table.Ready(), free: l.table.Free(), capacity: l.table.Capacity()}
-	changed := now != l.told
-	l.told = now
-	return changed
+// offerChange tells how the offer differs from the one told last.
+func (l *loop) offerChange() offerChange {
+	before := l.told
+	l.told = offer{ready: l.table.Ready(), free: l.table.Free(), capacity: l.table.Capacity()}
+	switch {
+	case l.told == before:
+		return offerSame
+	case l.told.ready != before.ready || l.told.capacity != before.capacity:
+		return offerDiffers
+	default:
+		return roomDiffers
+	}
 }
 
 // report queues an end for the dispatcher that ordered the run.
@@ -209,14 +225,21 @@
 	runtable.Stopped: wirepb.RunOutcome_RUN_OUTCOME_STOPPED,
 }
 
-// sendReports sends ends at once, and room that changed at most every
-// reportGap times the square of the number of dispatchers.
-func (l *loop) sendReports(now time.Time, changed bool) {
+// roomGap is the shortest time between two reports of room alone to one
+// dispatcher.
+func roomGap(runners int64) time.Duration {
+	return min(time.Duration(runners*runners)*reportGap, reportGapMost)
+}
+
+// sendReports sends ends and readiness at once, and room that changed at most
+// every roomGap.
+func (l *loop) sendReports(now time.Time, change offerChange) {
 	var room *wirepb.Room
-	gap := time.Duration(len(l.dispatchers)*len(l.dispatchers)) * reportGap
+	gap := roomGap(l.p.runners.Load())
 	for _, d := range l.dispatchers {
-		d.stale = d.stale || changed
-		if len(d.ends) == 0 && (!d.stale || now.Sub(d.reported) < gap) {
+		d.stale = d.stale || change != offerSame
+		due := d.stale && now.Sub(d.reported) >= gap
+		if len(d.ends) == 0 && !due && change != offerDiffers {
 			continue
 		}
 		if room == nil {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -46,10 +46,12 @@
 	orderAge = 400 * time.Millisecond
 	// tickInterval is how often waiting runs and stops are looked at.
 	tickInterval = 10 * time.Millisecond
-	// reportGap times the square of the number of dispatchers is the shortest
-	// time between two reports of room alone. With more dispatchers there are
-	// more runners to report, and more of them to choose from.
-	reportGap = time.Millisecond
+	// reportGap times the square of the number of runners is the shortest time
+	// between two reports of room alone, reportGapMost the longest. With more
+	// runners more of them report to each dispatcher, whose time is scarce, and
+	// it has more of them to choose from.
+	reportGap     = 75 * time.Microsecond
+	reportGapMost = 250 * time.Millisecond
 	// fenceStep is added to a fencing token that was refused.
 	fenceStep = uint64(time.Minute / time.Millisecond)
 
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -19,6 +20,9 @@
 	directory *directory.Client
 	loop      *loop
 
+	// runners is the number of runners in the deployment, as control tells.
+	runners atomic.Int64
+
 	events chan event
 	quit   chan struct{}
 	ended  chan struct{}
@@ -46,7 +50,7 @@
 		Seeds:    opts.Seeds,
 		Wire:     wire.Options{Hello: p.opts.hello, Scope: opts.Scope, Log: opts.Log},
 		Announce: p.announce,
-		Changed:  func(directory.View) {},
+		Changed:  p.changed,
 		Log:      opts.Log,
 	})
 	go p.listener.Serve()
@@ -55,6 +59,17 @@
 	return p, nil
 }
 
+// changed takes what the control members tell in.
+func (p *Process) changed(v directory.View) {
+	runners := 0
+	for _, a := range v.Processes {
+		if a.Role == Role {
+			runners++
+		}
+	}
+	p.runners.Store(int64(runners))
+}
+
 func (o *Options) hello() *wirepb.Hello {
 	return &wirepb.Hello{Role: Role, Name: o.Name, Zone: o.Zone, Cluster: o.Cluster}
 }
