Runner: a rejection after an unanswered start does not prove that nothing ran

By reading: a start is sent again after 30 ms without an answer; when the first had begun the run and the run has ended, the second is rejected as old, and that counted as "not run", as did any rejection after an unanswered try, and a start without an answer at a minion that ended. Ruled out: dispatcher's counts (a refusal needs every start back as not run), refusals at the door. Change: such a run is stopped and settled by a list, like one whose tries are used up; at the end of a minion only what waited is not run. Tests: three in runtable, each fails without it.

--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -33,6 +33,11 @@
 			r.state = running
 		}
 	case Rejected, RejectedOld, RejectedRoom:
+		if r.tries > 1 {
+			// An earlier try may have begun the run, or may yet.
+			t.stop(now, r, rejection(answer))
+			return
+		}
 		t.finish(now, r, NotRun, rejection(answer))
 	case Unanswered:
 		if r.state == running { // a list has shown it
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -71,10 +71,11 @@
 // Reboot notes that another life of the minion began: what ran has ended.
 func (t *Table) Reboot(now time.Time) {
 	for _, r := range t.sorted() {
-		if r.state == waiting || r.state == starting && !r.seen {
+		if r.state == waiting {
 			t.finish(now, r, NotRun, ReasonMinionGone)
 			continue
 		}
+		// A start without an answer may have been carried out.
 		t.finish(now, r, Stopped, ReasonMinionGone)
 	}
 	t.acked = 0
--- a/internal/runtable/table_test.go
+++ b/internal/runtable/table_test.go
@@ -115,6 +115,48 @@
 	assert.Equal(t, onlyEnd(t, tab).Outcome, NotRun)
 }
 
+// TestRejectionAfterAnUnansweredStartIsNoProof: the first start began the run,
+// its answer was lost, and the run has ended when the second one comes.
+func TestRejectionAfterAnUnansweredStartIsNoProof(t *testing.T) {
+	for _, answer := range []StartAnswer{Rejected, RejectedOld, RejectedRoom} {
+		tab := table(t)
+		o := order("a", 0, 1000)
+		tab.Place(at(1), o)
+		tab.StartAnswered(at(30), ref(o), Unanswered)
+		tab.Take()
+		tab.StartAnswered(at(31), ref(o), answer)
+		out := tab.Take()
+		assert.Equal(t, len(out.Ends), 0)
+		assert.DeepEqual(t, out.Stops, []Ref{ref(o)})
+		tab.Listed(at(33), Listing{Asked: at(32), Ended: []EndedRow{{Ref: ref(o), Number: 1, Outcome: Done}}})
+		assert.Equal(t, onlyEnd(t, tab).Outcome, Done)
+	}
+}
+
+// TestRejectionAfterAnUnansweredStartIsSettled: the minion has never seen the
+// run, which a stop and a list after it prove.
+func TestRejectionAfterAnUnansweredStartIsSettled(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	tab.Place(at(1), o)
+	tab.StartAnswered(at(30), ref(o), Unanswered)
+	tab.StartAnswered(at(31), ref(o), RejectedRoom)
+	tab.StopAnswered(at(32), ref(o))
+	tab.Take()
+	tab.Listed(at(34), Listing{Asked: at(33)})
+	end := onlyEnd(t, tab)
+	assert.Equal(t, end.Outcome, NotRun)
+	assert.Equal(t, end.Reason, ReasonNoRoom)
+}
+
+// TestUnansweredStartAtAMinionThatEnds: it may have been carried out.
+func TestUnansweredStartAtAMinionThatEnds(t *testing.T) {
+	tab := table(t)
+	tab.Place(at(1), order("a", 0, 1000))
+	tab.Reboot(at(20))
+	assert.Equal(t, onlyEnd(t, tab).Outcome, Stopped)
+}
+
 func TestListProvesAnUnansweredStart(t *testing.T) {
 	tab := table(t)
 	o := order("a", 0, 1000)
