--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -130,10 +130,7 @@
 type dumpAsked struct{ answer chan<- Dump }
 
 func (e dumpAsked) handle(l *loop, _ time.Time) {
-	d := Dump{Jobs: l.core.Jobs(), Waiting: l.core.Waiting(), Ready: l.p.Ready()}
-	if t := l.p.Table(); t != nil {
-		d.Version = t.Document.Version
-	}
+	d := Dump{Version: l.p.Version(), Jobs: l.core.Jobs(), Waiting: l.core.Waiting(), Ready: l.p.Ready()}
 	for _, s := range l.sessions {
 		d.Runners = append(d.Runners, s.name)
 	}
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -203,21 +204,13 @@
 	dispatch.Completed: "completed", dispatch.Failed: "failed", dispatch.GivenUp: "given_up", dispatch.Refused: "refused",
 }
 
-// answer ends a job; what is out of the ordinary is logged.
+// answer ends a job.
 func (l *loop) answer(a dispatch.Answer) {
 	tags := map[string]string{"outcome": resultWords[a.Result], "reason": a.Reason}
 	l.metrics.scope.Tagged(tags).Counter("jobs").Inc(1)
 	now := time.Now()
 	l.metrics.took[a.Result].RecordDuration(now.Sub(a.Job.Arrived))
-	late := now.After(a.Job.Objective)
-	if a.Result != dispatch.Completed || late {
-		free, capacity := l.core.Load()
-		l.p.opts.Log.Info("job answered", "job", a.Job.ID, "queue", a.Job.Queue, "outcome", resultWords[a.Result],
-			"reason", a.Reason, "took_ms", now.Sub(a.Job.Arrived).Milliseconds(), "waited_ms", a.Waited.Milliseconds(),
-			"objective_ms", a.Job.Objective.Sub(a.Job.Arrived).Milliseconds(), "starts", a.Starts, "lost", a.Lost,
-			"waiting_jobs", l.core.Waiting(), "runners", l.core.Runners(),
-			"free_milli", free, "capacity_milli", capacity)
-	}
+	l.logAnswer(now, a)
 	answer := l.waits[a.Job.ID]
 	if a.Reason == dispatch.ReasonDuplicate {
 		return // answered by the event that brought it
@@ -227,3 +220,36 @@
 		answer <- a
 	}
 }
+
+// logAnswer writes a line for a job that ended; for one out of the ordinary with
+// what decided it.
+func (l *loop) logAnswer(now time.Time, a dispatch.Answer) {
+	took := now.Sub(a.Job.Arrived).Milliseconds()
+	late := now.After(a.Job.Objective)
+	if a.Result == dispatch.Completed && !late {
+		l.p.opts.Log.Info("job completed", "job", a.Job.ID, "queue", a.Job.Queue, "took_ms", took, "starts", a.Starts)
+		return
+	}
+	message := "job " + strings.ReplaceAll(resultWords[a.Result], "_", " ")
+	if a.Result == dispatch.Completed {
+		message = "job late"
+	}
+	free, capacity := l.core.Load()
+	l.p.opts.Log.Info(message, "job", a.Job.ID, "queue", a.Job.Queue, "outcome", resultWords[a.Result],
+		"reason", a.Reason, "took_ms", took, "waited_ms", a.Waited.Milliseconds(),
+		"objective_ms", a.Job.Objective.Sub(a.Job.Arrived).Milliseconds(), "starts", a.Starts, "lost", a.Lost,
+		"waiting_jobs", l.core.Waiting(), "runners", l.core.Runners(), "oldest_report_ms", l.oldestReport().Milliseconds(),
+		"free_milli", free, "capacity_milli", capacity, "version", l.p.Version())
+}
+
+// oldestReport is the age of the view of the runner that was heard longest ago.
+func (l *loop) oldestReport() time.Duration {
+	now := steadytime.Now()
+	var oldest time.Duration
+	for _, s := range l.sessions {
+		if s.heard != 0 {
+			oldest = max(oldest, now-s.heard)
+		}
+	}
+	return oldest
+}
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -92,6 +92,14 @@
 // Table is the configuration in force here, or nil.
 func (p *Process) Table() *desired.Table { return p.table.Load() }
 
+// Version is that of the configuration in force, or 0.
+func (p *Process) Version() uint64 {
+	if t := p.table.Load(); t != nil {
+		return t.Document.Version
+	}
+	return 0
+}
+
 // Ready tells whether new work is welcome here.
 func (p *Process) Ready() bool {
 	return p.table.Load() != nil && p.runners.Load() > 0 && !p.leaving.Load()
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -42,3 +45,25 @@
 	_, err = NewLog(&out, "loud")
 	assert.ErrorContains(t, err, "log level")
 }
+
+// TestLogIsBounded: a flood of one message leaves room for others, and what was
+// left out is counted.
+func TestLogIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log, err := NewLog(&out, "info")
+		assert.NilError(t, err)
+		const flood = 1000
+		for range flood {
+			log.Info("refused")
+		}
+		log.Info("stopping")
+		assert.Equal(t, bytes.Count(out.Bytes(), []byte(`"refused"`)), messageLines)
+		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(`"stopping"`)))
+		left := fmt.Sprintf(`"log lines left out","count":%d`, flood-messageLines)
+		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(left)))
+		time.Sleep(messagePeriod)
+		log.Info("refused")
+		assert.Equal(t, bytes.Count(out.Bytes(), []byte(`"refused"`)), messageLines+1)
+	})
+}
