--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -52,6 +52,9 @@
 	runners, dispatchers int
 	// gap is the least time between two reports of room without ends.
 	gap time.Duration
+	// heavy is how many times the load of another the first dispatcher gets; 0
+	// is the same.
+	heavy int
 }
 
 const (
@@ -75,6 +78,8 @@
 	kept [3]float64
 	// messages is the number of messages of dispatchers a job.
 	messages float64
+	// first is the share of the first dispatcher's jobs that end in time.
+	first float64
 }
 
 // world replays a load in virtual time: three dispatchers, eleven runners with
@@ -96,6 +101,8 @@
 	gap     time.Duration
 	// messages counts those that dispatchers sent and received.
 	messages int
+	// firstJobs are the jobs of the first dispatcher.
+	firstJobs int
 }
 
 type simJob struct {
@@ -104,6 +111,7 @@
 	// ideal is the objective by the true run times.
 	ideal time.Time
 	run   []time.Duration
+	core  int
 }
 
 type simRunner struct {
@@ -194,6 +202,7 @@
 	}
 	w.out.used /= float64((spec.seconds - 2) * 50)
 	w.out.useful = w.useful / w.capacity() / float64(spec.seconds)
+	w.out.first /= float64(max(w.firstJobs, 1))
 	w.out.messages = float64(w.messages) / float64(w.out.asked)
 	return w.out
 }
@@ -266,12 +275,15 @@
 		id := fmt.Sprintf("%d-%06d", c.priority, n)
 		arrived := start.Add(at)
 		j := w.draw(c, id, arrived)
-		core := w.rand.IntN(len(w.cores))
+		core := max(0, w.rand.IntN(len(w.cores)+max(0, spec.heavy-1))-max(0, spec.heavy-1))
 		w.after(arrived.Sub(w.now), func() {
 			w.jobs[id] = j
 			w.out.asked++
 			w.askedOf[c.priority]++
 			w.asked += j.worth
+			if j.core = core; core == 0 {
+				w.firstJobs++
+			}
 			w.cores[core].Submit(w.now, j.Job)
 			w.carryOut(core)
 		})
@@ -326,6 +338,9 @@
 	case a.Result == Completed && !w.now.After(j.ideal):
 		w.out.inTime++
 		w.out.kept[j.Priority]++
+		if j.core == 0 {
+			w.out.first++
+		}
 		for _, long := range j.run {
 			w.useful += float64(j.Steps[0].Need.CPU) * long.Seconds() * 1.1
 		}
