--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/netip"
@@ -79,6 +80,11 @@
 	if _, err := netip.ParseAddr(f.Address); err != nil {
 		add("fleet.address", "must be an IP number")
 	}
+	if f.Listen != "" {
+		if _, err := netip.ParseAddr(f.Listen); err != nil {
+			add("fleet.listen", "must be an IP number")
+		}
+	}
 	if f.SessionPort == 0 || f.SessionPort > 65535 {
 		add("fleet.session_port", "must be a port")
 	}
@@ -105,9 +111,12 @@
 	}
 }
 
-// SessionAddress is where this process takes sessions.
+// SessionAddress is where others reach this process's sessions.
 func (f *Fleet) SessionAddress() string { return f.sessionAt(f.Address) }
 
+// ListenAddress is where this process takes sessions.
+func (f *Fleet) ListenAddress() string { return f.sessionAt(cmp.Or(f.Listen, f.Address)) }
+
 func (f *Fleet) sessionAt(host string) string {
 	return net.JoinHostPort(host, strconv.FormatUint(f.SessionPort, 10))
 }
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -94,7 +94,8 @@
 
 // Fleet are the settings of the roles that find each other from a few seeds.
 type Fleet struct {
-	Address     string   `yaml:"address" doc:"IP number of this host."`
+	Address     string   `yaml:"address" doc:"IP number of this host, as others reach it."`
+	Listen      string   `yaml:"listen" doc:"IP number where sessions are taken, when it differs from the one that others use; empty is fleet.address."`
 	SessionPort uint64   `yaml:"session_port" doc:"Port for sessions, the same on every host."`
 	Seeds       []string `yaml:"seeds" doc:"Addresses of hosts of control members; only the IP number counts."`
 	FirstStart  bool     `yaml:"first_start" doc:"The deployment starts for the first time, with empty disks."`
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -45,6 +45,8 @@
 	Cluster, Name, Zone string
 	// Address is the own session address, as others reach it.
 	Address string
+	// ListenAddress is where sessions are taken.
+	ListenAddress string
 	// Seeds are session addresses of members to begin with.
 	Seeds []string
 	// FirstStart: the deployment starts for the first time, with empty disks.
@@ -94,7 +96,7 @@
 func (m *Member) controlOptions() control.Options {
 	return control.Options{
 		Cluster: m.opts.Cluster, Name: m.opts.Name, Zone: m.opts.Zone,
-		ID: m.id.ID, ListenAddress: m.opts.Address, DataDir: filepath.Join(m.opts.DataDir, "log"),
+		ID: m.id.ID, ListenAddress: m.opts.ListenAddress, DataDir: filepath.Join(m.opts.DataDir, "log"),
 		Join: len(m.id.First) == 0, Members: m.id.peers(),
 		Tick: electionTime / control.DefaultElectionTicks, StartTicks: startTicks,
 		SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
--- a/internal/formation/formation_test.go
+++ b/internal/formation/formation_test.go
@@ -41,7 +41,7 @@
 func (g *group) start(host int, disk string, first bool) *Member {
 	g.t.Helper()
 	m, err := Start(g.t.Context(), Options{
-		Cluster: "test", Name: fmt.Sprint("member", host), Zone: "z", Address: g.address(host), Seeds: g.seeds,
+		Cluster: "test", Name: fmt.Sprint("member", host), Zone: "z", Address: g.address(host), ListenAddress: g.address(host), Seeds: g.seeds,
 		FirstStart: first, DataDir: filepath.Join(g.dir, disk), Voters: 3, Log: logr.Discard(),
 	})
 	assert.NilError(g.t, err)
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -61,7 +61,9 @@
 // Options are the settings of a runner.
 type Options struct {
 	Cluster, Name, Zone string
-	// ListenAddress is where dispatchers connect.
+	// Address is where dispatchers connect, as they reach it.
+	Address string
+	// ListenAddress is where their sessions are taken.
 	ListenAddress string
 	// Seeds are session addresses of control members.
 	Seeds []string
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -75,12 +75,9 @@
 }
 
 func (p *Process) announce() *wirepb.Announce {
-	return &wirepb.Announce{Role: Role, Name: p.opts.Name, Zone: p.opts.Zone, Address: p.listener.Address()}
+	return &wirepb.Announce{Role: Role, Name: p.opts.Name, Zone: p.opts.Zone, Address: p.opts.Address}
 }
 
-// Address is where dispatchers connect.
-func (p *Process) Address() string { return p.listener.Address() }
-
 // Reseed takes changed addresses of control members in.
 func (p *Process) Reseed(seeds []string) { p.directory.Reseed(seeds) }
 
--- a/scenarios/bench_test.go
+++ b/scenarios/bench_test.go
@@ -89,7 +89,7 @@
 func (f *fleet) observe(o *load.Options) {
 	for _, name := range f.names() {
 		role, _, _ := strings.Cut(name, "-")
-		o.Processes = append(o.Processes, load.Process{Role: role, PID: f.nodes[name].cmd.Process.Pid})
+		o.Processes = append(o.Processes, load.Process{Role: role, PID: f.nodes[name].PID()})
 		if debug := f.serving[linkKey{anyone, name, "debug"}]; debug != "" {
 			o.Metrics = append(o.Metrics, "http://"+debug)
 		}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"endivewing/internal/apiclient"
 	"endivewing/internal/keys/keystest"
+	"endivewing/internal/testkit/proc"
 )
 
 // size is how many processes of each role a fleet has.
@@ -41,9 +42,9 @@
 	minionFlags map[int][]string
 
 	mu      sync.Mutex
-	nodes   map[string]*process
+	nodes   map[string]*proc.Process
 	members []member
-	links   map[linkKey]*relay
+	links   map[linkKey]*proc.Relay
 	// serving are the addresses where processes listen now.
 	serving map[linkKey]string
 	minions []string
@@ -65,22 +66,22 @@
 const patientMS = 60_000
 
 func newFleet(dir string) *fleet {
-	return &fleet{dir: dir, nodes: map[string]*process{}, links: map[linkKey]*relay{}, serving: map[linkKey]string{}, maxWaitMS: patientMS}
+	return &fleet{dir: dir, nodes: map[string]*proc.Process{}, links: map[linkKey]*proc.Relay{}, serving: map[linkKey]string{}, maxWaitMS: patientMS}
 }
 
 // link returns the relay for a key, making it on first use.
-func (f *fleet) link(from, to, role string) *relay {
+func (f *fleet) link(from, to, role string) *proc.Relay {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := linkKey{from, to, role}
 	if r, ok := f.links[key]; ok {
 		return r
 	}
-	r, err := newRelay()
+	r, err := proc.NewRelay("127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	r.point(f.serving[linkKey{anyone, to, role}])
+	r.Point(f.serving[linkKey{anyone, to, role}])
 	f.links[key] = r
 	return r
 }
@@ -116,7 +117,7 @@
 	var mu sync.Mutex
 	var errs []error
 	for _, name := range f.names() {
-		if f.nodes[name].running() {
+		if f.nodes[name].Running() {
 			continue
 		}
 		wg.Add(1)
@@ -148,14 +149,14 @@
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		panic(err)
 	}
-	f.nodes[name] = &process{name: name, dir: f.dir, args: []string{"serve", "--config", path}}
+	f.nodes[name] = &proc.Process{Name: name, Dir: f.dir, Args: []string{"serve", "--config", path}}
 }
 
 func (f *fleet) addMinion(i, slots int) error {
 	name := fmt.Sprintf("minion-%d", i)
 	record := filepath.Join(f.dir, name+".record")
-	p := &process{name: name, dir: f.dir, args: []string{"minion", "--record", record, "--slots", fmt.Sprint(slots)}}
-	p.args = append(p.args, f.minionFlags[i]...)
+	p := &proc.Process{Name: name, Dir: f.dir, Args: []string{"minion", "--record", record, "--slots", fmt.Sprint(slots)}}
+	p.Args = append(p.Args, f.minionFlags[i]...)
 	f.nodes[name] = p
 	f.minions = append(f.minions, record)
 	return f.start(name)
@@ -163,7 +164,7 @@
 
 // start runs a process and points the relays at its new addresses.
 func (f *fleet) start(name string) error {
-	addresses, err := f.nodes[name].start()
+	addresses, err := f.nodes[name].Start()
 	if err != nil {
 		return err
 	}
@@ -174,7 +175,7 @@
 	}
 	for key, r := range f.links {
 		if key.to == name {
-			r.point(addresses[key.role])
+			r.Point(addresses[key.role])
 		}
 	}
 	return nil
@@ -194,23 +195,23 @@
 	defer f.mu.Unlock()
 	for key, r := range f.links {
 		if key.from == name || key.to == name {
-			r.setSilent(cut)
+			r.SetSilent(cut)
 		}
 	}
 }
 
 // freeze stops a process where it stands; thaw lets it go on.
-func (f *fleet) freeze(name string) error { return f.nodes[name].signal(syscall.SIGSTOP) }
+func (f *fleet) freeze(name string) error { return f.nodes[name].Signal(syscall.SIGSTOP) }
 
-func (f *fleet) thaw(name string) error { return f.nodes[name].signal(syscall.SIGCONT) }
+func (f *fleet) thaw(name string) error { return f.nodes[name].Signal(syscall.SIGCONT) }
 
 // close ends every process that the fleet started.
 func (f *fleet) close() {
 	for _, p := range f.nodes {
-		_ = p.kill()
+		_ = p.Kill()
 	}
 	for _, r := range f.links {
-		r.close()
+		r.Close()
 	}
 }
 
@@ -226,7 +227,7 @@
 }
 
 func (f *fleet) client(name string) *apiclient.Client {
-	return &apiclient.Client{Base: "http://" + f.link(anyone, name, "entry").address(), Token: f.token, HTTP: callerHTTP}
+	return &apiclient.Client{Base: "http://" + f.link(anyone, name, "entry").Address(), Token: f.token, HTTP: callerHTTP}
 }
 
 // callerHTTP is the callers' pool; a caller gives an entry up after a while.
@@ -269,7 +270,7 @@
 // eventually repeats a check until it passes or the hang guard ends it; the error
 // then has what the check said before.
 func eventually(check func(ctx context.Context) error) error {
-	ctx, stop := context.WithTimeout(context.Background(), hangGuard)
+	ctx, stop := context.WithTimeout(context.Background(), proc.HangGuard)
 	defer stop()
 	var last error
 	for {
--- a/scenarios/random_test.go
+++ b/scenarios/random_test.go
@@ -22,8 +22,8 @@
 }
 
 var faults = []fault{
-	{"kill", func(f *fleet, p string) error { return f.nodes[p].kill() }, (*fleet).start},
-	{"stop", func(f *fleet, p string) error { return f.nodes[p].stop() }, (*fleet).start},
+	{"kill", func(f *fleet, p string) error { return f.nodes[p].Kill() }, (*fleet).start},
+	{"stop", func(f *fleet, p string) error { return f.nodes[p].Stop() }, (*fleet).start},
 	{"freeze", (*fleet).freeze, (*fleet).thaw},
 	{"cut", func(f *fleet, p string) error { f.setCut(p, true); return nil },
 		func(f *fleet, p string) error { f.setCut(p, false); return nil }},
@@ -100,7 +100,7 @@
 	}
 	var processes []string
 	for _, name := range f.names() {
-		if f.nodes[name].args[0] == "serve" {
+		if f.nodes[name].Args[0] == "serve" {
 			processes = append(processes, name)
 		}
 	}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -54,8 +54,8 @@
 			"judge":     cmdJudge,
 			"expect":    cmdExpect,
 			"start":     onEach(func(f *fleet, name string) error { return f.start(name) }),
-			"crash":     onEach(func(f *fleet, name string) error { return f.nodes[name].kill() }),
-			"shutdown":  onEach(func(f *fleet, name string) error { return f.nodes[name].stop() }),
+			"crash":     onEach(func(f *fleet, name string) error { return f.nodes[name].Kill() }),
+			"shutdown":  onEach(func(f *fleet, name string) error { return f.nodes[name].Stop() }),
 			"freeze":    onEach((*fleet).freeze),
 			"thaw":      onEach((*fleet).thaw),
 			"cut":       onEach(func(f *fleet, name string) error { f.setCut(name, true); return nil }),
@@ -131,8 +131,8 @@
 	}
 	for _, name := range f.names() {
 		variable := strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
-		ts.Setenv(variable, "http://"+f.link(anyone, name, "entry").address())
-		ts.Setenv("DEBUG_"+variable, "http://"+f.link(anyone, name, "debug").address())
+		ts.Setenv(variable, "http://"+f.link(anyone, name, "entry").Address())
+		ts.Setenv("DEBUG_"+variable, "http://"+f.link(anyone, name, "debug").Address())
 	}
 }
 
--- a/scenarios/settings_test.go
+++ b/scenarios/settings_test.go
@@ -42,7 +42,7 @@
 func (f *fleet) controlAddresses(from string) string {
 	var quoted []string
 	for _, m := range f.members {
-		quoted = append(quoted, fmt.Sprintf("%q", f.link(from, m.name, "control").address()))
+		quoted = append(quoted, fmt.Sprintf("%q", f.link(from, m.name, "control").Address()))
 	}
 	return fmt.Sprintf("control_addresses: [%s]\n", strings.Join(quoted, ", "))
 }
@@ -50,7 +50,7 @@
 func (f *fleet) controlSettings(m member, join bool) string {
 	var peers strings.Builder
 	for _, peer := range f.members {
-		address := f.link(m.name, peer.name, "control").address()
+		address := f.link(m.name, peer.name, "control").Address()
 		fmt.Fprintf(&peers, "    - {id: %d, name: %s, address: %q, zone: %s}\n", peer.id, peer.name, address, zoneOf(peer.id))
 	}
 	return f.commonSettings(m.name, "control", zoneOf(m.id)) + fmt.Sprintf(`control:
@@ -71,7 +71,7 @@
 	if f.direct {
 		return f.serving[linkKey{anyone, to, role}]
 	}
-	return f.link(from, to, role).address()
+	return f.link(from, to, role).Address()
 }
 
 func (f *fleet) agentSettings(i, slots int) string {
