Read-through: one time-out for quick connections, plainer names, no behaviour changed

Cause: read as a newcomer. The 150 ms of a connection stood three times with the same reason; "stirred" needed explaining; the bound on free room had its question on the dispatcher, which it does not use; a stop function was called keep; one line ran on. Change: wire.QuickConnect; Dispatcher.changed; freeRoom.measure and mayTake; reviewInterval with the other constants. Left: a line "log lines left out" may come before every other line under load; counting what is free for lines that the sampler drops.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -13,8 +13,6 @@
 const (
 	redialFirst = 20 * time.Millisecond
 	redialMost  = 250 * time.Millisecond
-	// peerDial bounds one connection: a host without power answers nothing.
-	peerDial = 150 * time.Millisecond
 )
 
 // peers carries messages to the other members. What can't be sent is dropped:
@@ -32,7 +30,7 @@
 }
 
 func newPeers(self uint64, opts wire.Options) *peers {
-	opts.Connect = peerDial
+	opts.Connect = wire.QuickConnect
 	return &peers{self: self, opts: opts, links: map[uint64]*link{}, inbound: map[uint64]*wire.Session{}}
 }
 
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -21,9 +21,6 @@
 const (
 	redialFirst = 50 * time.Millisecond
 	redialMost  = 500 * time.Millisecond
-	// dialTimeout bounds one dial: a host without power answers nothing, and
-	// the next try reaches it as soon as it is back.
-	dialTimeout = 150 * time.Millisecond
 	// SessionIdle closes a session with a member that went silent, early enough
 	// that a change reaches the process through another in time.
 	SessionIdle = 1500 * time.Millisecond
@@ -159,7 +156,7 @@
 // serve keeps one session until it ends.
 func (c *Client) serve(m *member) {
 	opts := c.opts.Wire
-	opts.Connect, opts.Heartbeat, opts.Idle = dialTimeout, SessionHeartbeat, SessionIdle
+	opts.Connect, opts.Heartbeat, opts.Idle = wire.QuickConnect, SessionHeartbeat, SessionIdle
 	opts.PatientIdle = true
 	opts.Handler = func(_ *wire.Session, e *wirepb.Envelope) {
 		if update := e.GetDirectoryUpdate(); update != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,9 @@
 	patienceShare = 0.2
 	// skipRuns is added to a run number that a minion has seen before.
 	skipRuns = 16
+	// reviewInterval is how often all open jobs are looked at; those that wait
+	// are at every tick.
+	reviewInterval = 50 * time.Millisecond
 	// retryLeast and retryMost bound the time after which a refused job may
 	// come back.
 	retryLeast = time.Second
@@ -34,9 +37,9 @@
 	jobs  map[string]*openJob
 	// queue are the jobs with tasks to place, the most urgent first.
 	queue []*openJob
-	// stirred is when work or room last came; zero when waiting tasks have been
+	// changed is when work or room last came; zero when waiting tasks have been
 	// looked at since.
-	stirred time.Time
+	changed time.Time
 	// reviewed is when all open jobs were last looked at.
 	reviewed time.Time
 	out      Output
@@ -51,9 +54,9 @@
 // load many events come between two calls: one look at the waiting tasks does
 // for all of them.
 func (d *Dispatcher) Take() Output {
-	if !d.stirred.IsZero() {
-		d.place(d.stirred)
-		d.stirred = time.Time{}
+	if !d.changed.IsZero() {
+		d.place(d.changed)
+		d.changed = time.Time{}
 	}
 	out := d.out
 	d.out = Output{}
@@ -113,7 +116,7 @@
 	}
 	d.jobs[j.ID] = o
 	d.enqueue(o)
-	d.stirred = now
+	d.changed = now
 }
 
 // impossible is the reason why no known minion can run a job, or "".
@@ -169,7 +172,7 @@
 		slices.SortFunc(d.order, func(a, b *runner) int { return int(a.id) - int(b.id) })
 	}
 	r.update(room)
-	d.stirred = now
+	d.changed = now
 }
 
 // RunnerLost notes the end of a runner's session. What ran there may still be
@@ -240,7 +243,7 @@
 	if o.hungry() {
 		d.enqueue(o)
 	}
-	d.stirred = now
+	d.changed = now
 }
 
 func (d *Dispatcher) endpoint(id RunnerID) string {
@@ -314,10 +317,6 @@
 	return min(max(wait, retryLeast), retryMost)
 }
 
-// reviewInterval is how often all open jobs are looked at; those that wait are
-// at every tick.
-const reviewInterval = 50 * time.Millisecond
-
 // Tick refuses what has waited too long and settles doubtful runs.
 func (d *Dispatcher) Tick(now time.Time) {
 	for _, o := range slices.Clone(d.queue) {
@@ -329,7 +328,7 @@
 			d.review(now, d.jobs[id])
 		}
 	}
-	d.stirred = now
+	d.changed = now
 }
 
 // patience is when a job that has not begun is refused.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -25,7 +25,7 @@
 	}
 	free := freeRoom{runners: d.order}
 	for _, o := range d.inOrder(now) {
-		if !d.mayFit(o, &free) || !o.mayPlace(now) {
+		if !free.mayTake(o) || !o.mayPlace(now) {
 			continue
 		}
 		if o.Priority >= wholePriority && !o.touched() && !d.roomFor(o) {
@@ -51,7 +51,8 @@
 	cpu  int64
 }
 
-func (f *freeRoom) of(service string) {
+// measure adds up the room of a service unless it is known.
+func (f *freeRoom) measure(service string) {
 	if f.known && f.service == service {
 		return
 	}
@@ -67,10 +68,10 @@
 	}
 }
 
-// mayFit tells whether a waiting task of a job may find room now, and for a job
-// that begins whole, whether all may.
-func (d *Dispatcher) mayFit(o *openJob, free *freeRoom) bool {
-	free.of(o.Service)
+// mayTake tells whether a waiting task of a job may find room now, and for a
+// job that begins whole, whether all may.
+func (f *freeRoom) mayTake(o *openJob) bool {
+	f.measure(o.Service)
 	fits := false
 	var asked int64
 	for step := range o.Steps {
@@ -78,10 +79,10 @@
 			continue
 		}
 		need := o.Steps[step].Need
-		fits = fits || need.Fits(free.most)
+		fits = fits || need.Fits(f.most)
 		asked += need.CPU * int64(o.waiting[step])
 	}
-	return fits && (o.Priority < wholePriority || o.touched() || asked <= free.cpu)
+	return fits && (o.Priority < wholePriority || o.touched() || asked <= f.cpu)
 }
 
 // roomFor tells whether all waiting tasks of a job have room now.
@@ -94,6 +95,7 @@
 	return true
 }
 
+// stepFits tells whether all waiting tasks of a step have room now.
 func (d *Dispatcher) stepFits(o *openJob, step int) bool {
 	s := &o.Steps[step]
 	left := int64(o.waiting[step])
--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -95,7 +95,7 @@
 	opts := wire.Options{
 		Hello:       l.p.opts.hello,
 		Handler:     l.p.onEnvelope,
-		Connect:     dialTimeout,
+		Connect:     wire.QuickConnect,
 		Heartbeat:   runner.SessionHeartbeat,
 		Idle:        runner.SessionIdle,
 		PatientIdle: true,
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -36,9 +36,6 @@
 	// redialFirst and redialMost bound the pause between dials of a runner.
 	redialFirst = 30 * time.Millisecond
 	redialMost  = 400 * time.Millisecond
-	// dialTimeout bounds one dial: a host without power answers nothing, and
-	// the next try reaches it as soon as it is back.
-	dialTimeout = 150 * time.Millisecond
 	// forgetRunner is how long a runner that no control member lists is still
 	// dialed.
 	forgetRunner = 15 * time.Second
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -67,7 +67,8 @@
 	s := n.settings
 	n.fleet.member, err = formation.Start(ctx, formation.Options{
 		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone,
-		Address: s.Fleet.SessionAddress(), ListenAddress: s.Fleet.ListenAddress(), Seeds: s.Fleet.SeedSessions(), FirstStart: s.Fleet.FirstStart,
+		Address: s.Fleet.SessionAddress(), ListenAddress: s.Fleet.ListenAddress(),
+		Seeds: s.Fleet.SeedSessions(), FirstStart: s.Fleet.FirstStart,
 		DataDir: s.Fleet.Data, Voters: s.Fleet.Voters(),
 		Log: n.log, Scope: n.metrics.Scope.SubScope(config.RoleMember),
 	})
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -41,9 +41,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
-	keep := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	s, err := handshake(ctx, conn, opts)
-	if !keep() && ctx.Err() != nil {
+	if !stop() && ctx.Err() != nil {
 		err = ctx.Err()
 	}
 	if err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -50,7 +50,11 @@
 	maxQueuedBytes = 128 << 20
 
 	handshakeTimeout = 3 * time.Second
-	lengthBytes      = 4
+	// QuickConnect is for Options.Connect where the peer is dialed again until it
+	// answers: a host without power answers nothing, and the next try reaches it
+	// as soon as it is back.
+	QuickConnect = 150 * time.Millisecond
+	lengthBytes  = 4
 )
 
 var (
