A hang-up signal during a stop no longer ends the process

Cause: the receiver of SIGHUP was taken away when the graceful stop began, so the signal's default action ended the process with its open requests. Ruled out: closeServer, handshakes, memory. Change: SIGHUP is received from before the start to the process's end. Test: TestHangUpDuringAStopCutsNothing (answer lost before); the soak's stops now come with a hang-up.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	reload := watchSettings(c.Config, catchHangUps())
 	n, err := node.Start(ctx, s, log.WithValues("process", s.Name))
 	if err != nil {
 		return err
@@ -42,7 +43,6 @@
 	if err := o.announce(n.Addresses()); err != nil {
 		return err
 	}
-	reload := watchSettings(ctx, c.Config)
 	for {
 		select {
 		case <-reload:
@@ -70,21 +70,24 @@
 // without a signal.
 const settingsInterval = 2 * time.Second
 
-// watchSettings tells when the settings file may have changed: on SIGHUP, and
-// when its time or size differ.
-func watchSettings(ctx context.Context, path string) <-chan struct{} {
-	changed := make(chan struct{}, 1)
+// catchHangUps receives SIGHUP for the rest of the process's life: without a
+// receiver it would end the process, during a start or a graceful stop too.
+func catchHangUps() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+// watchSettings tells when the settings file may have changed: on a hang-up,
+// and when its time or size differ.
+func watchSettings(path string, hup <-chan os.Signal) <-chan struct{} {
+	changed := make(chan struct{}, 1)
 	go func() {
-		defer signal.Stop(hup)
 		ticker := time.NewTicker(settingsInterval)
 		defer ticker.Stop()
 		last := stamp(path)
 		for {
 			select {
-			case <-ctx.Done():
-				return
 			case <-hup:
 				last = stamp(path)
 				notify(changed)
