Members tell who serves before they have a leader

Who is connected to a member needs no leader: dispatchers now connect to runners while the election goes on. The document stays held back until it is known to be the newest.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -74,33 +74,42 @@
 }
 
 // pending tells whether anybody has to be told of anything.
-func (d *directory) pending() bool { return d.changed || len(d.joined) > 0 || len(d.left) > 0 }
+func (d *directory) pending(current bool) bool {
+	return d.changed && current || len(d.joined) > 0 || len(d.left) > 0
+}
 
 // publish tells what has changed to those it concerns. A member without a
-// leader, or that has applied nothing of the leader's term yet, stays silent:
-// its document may be old.
+// leader, or that has applied nothing of the leader's term yet, tells who is
+// connected but no document: its own may be old.
 func (d *directory) publish(l *loop, now time.Time) {
 	current := l.leadership.Leader != 0 && l.appliedTerm == l.leadership.Term
-	if !current || !d.pending() || now.Sub(d.last) < publishGap {
+	if !d.pending(current) || now.Sub(d.last) < publishGap {
 		return
 	}
 	news := d.news(l)
+	if current {
+		news.document, news.forAll = l.state.Document(), d.changed
+		d.changed = false
+	}
 	for session, to := range d.listeners {
 		d.send(session, to, news)
 	}
 	clear(d.joined)
-	d.left, d.changed, d.last = nil, false, now
+	d.left, d.last = nil, now
 }
 
 // news is what one round of updates is made of.
 type news struct {
 	joined, all, left []*wirepb.Announce
 	members           []string
-	document          *wirepb.Document
+	// document is the newest committed one, if that is known.
+	document *wirepb.Document
+	// forAll: the members or the document have changed.
+	forAll bool
 }
 
 func (d *directory) news(l *loop) *news {
-	n := &news{document: l.state.Document()}
+	n := &news{}
 	connected := map[wirepb.ProcessKey]bool{}
 	for session, of := range d.listeners {
 		connected[of.announce.Key()] = true
@@ -124,7 +133,7 @@
 // send tells one process what it does not know; the first time, all.
 func (d *directory) send(session *wire.Session, to *listener, n *news) {
 	listens := to.announce.Role == roleDispatcher
-	if to.told && !d.changed && !listens {
+	if to.told && !listens && !n.forAll && to.version >= n.document.GetVersion() {
 		return
 	}
 	update := &wirepb.DirectoryUpdate{Members: n.members}
--- /dev/null
+++ b/internal/dispatcher/loop_test.go
@@ -0,0 +1,110 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/dispatch"
+	"endivewing/internal/runner"
+	"endivewing/internal/runtable"
+	"endivewing/internal/steadytime"
+)
+
+// testProcess is a dispatcher whose loop the test drives itself.
+func testProcess(name string) *Process {
+	p := &Process{
+		opts:   Options{Name: name, Zone: "a", Cluster: "c", Log: logr.Discard(), Scope: tally.NoopScope},
+		events: make(chan event, eventQueue),
+		quit:   make(chan struct{}),
+		ended:  make(chan struct{}),
+	}
+	p.links = newLinks(p)
+	p.loop = newLoop(p)
+	return p
+}
+
+// TestJobsAreGivenUpAfterStandingStill: a process that was suspended may not go
+// on with its jobs. Runners have stopped them, and callers went elsewhere.
+func TestJobsAreGivenUpAfterStandingStill(t *testing.T) {
+	l := testProcess("d").loop
+	now := time.Now()
+	room := runtable.Need{CPU: 4000, Memory: 100}
+	l.core.Report(now, 1, dispatch.Room{Service: "s", Endpoint: "i", Capacity: room, Free: room, Ready: true})
+	answer := make(chan dispatch.Answer, 1)
+	submitted{&dispatch.Job{
+		ID: "j", Service: "s", Arrived: now, Objective: now.Add(time.Minute), Limit: now.Add(time.Minute),
+		Steps: []dispatch.Step{{Count: 1, Need: dispatch.Need{CPU: 1000}, Estimate: time.Second}},
+	}, answer}.handle(l, now)
+	l.flush()
+	l.checkStall()
+	l.flush()
+	assert.Equal(t, len(answer), 0)
+	l.lastTick = steadytime.Now() - 2*stallAfter
+	l.checkStall()
+	l.flush()
+	assert.Equal(t, (<-answer).Reason, dispatch.ReasonStalled)
+	assert.Equal(t, l.core.Jobs(), 0)
+}
+
+// announcements are runners of a large fleet, without those named in gone.
+func announcements(n int, gone ...int) []*wirepb.Announce {
+	var all []*wirepb.Announce
+	for i := range 31 {
+		all = append(all, &wirepb.Announce{Role: Role, Name: fmt.Sprint("d", i)})
+	}
+	missing := map[int]bool{}
+	for _, i := range gone {
+		missing[i] = true
+	}
+	for i := range n {
+		if !missing[i] {
+			// Nothing listens there: dials fail at once.
+			all = append(all, &wirepb.Announce{Role: runner.Role, Name: fmt.Sprint("r", i), Address: fmt.Sprint("127.0.0.1:", i+1)})
+		}
+	}
+	return all
+}
+
+func (l *links) count(now time.Time) (known, surplus int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.known {
+		known++
+		if !k.unwanted.IsZero() && now.Sub(k.unwanted) >= retireAfter {
+			surplus++
+		}
+	}
+	return known, surplus
+}
+
+// TestLinksFollowThePartOfALargeFleet: a dispatcher dials a part of the runners.
+// Substitutes of runners that were lost are given up once those are back for a
+// while; runners that are lost for a moment stay.
+func TestLinksFollowThePartOfALargeFleet(t *testing.T) {
+	p := testProcess("d1")
+	t.Cleanup(p.links.close)
+	p.links.update(announcements(160))
+	part, _ := p.links.count(time.Now())
+	assert.Assert(t, part >= 32 && part <= 40, "%d", part)
+
+	var lost []int
+	for i := range 40 {
+		lost = append(lost, 4*i)
+	}
+	p.links.update(announcements(160, lost...))
+	more, surplus := p.links.count(time.Now().Add(2 * retireAfter))
+	assert.Assert(t, more > part, "%d of %d", more, part)
+	assert.Equal(t, surplus, 0)
+
+	p.links.update(announcements(160))
+	_, surplus = p.links.count(time.Now())
+	assert.Equal(t, surplus, 0)
+	_, surplus = p.links.count(time.Now().Add(2 * retireAfter))
+	assert.Equal(t, surplus, more-part)
+}
