--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -50,8 +50,12 @@
 // update takes a report in.
 func (r *runner) update(room Room) {
 	r.Room = room
-	if hidden := int(r.sent - room.Placed); hidden < len(r.unseen) {
-		r.unseen = slices.Delete(r.unseen, 0, len(r.unseen)-hidden)
+	var hidden uint64 // tasks sent that the report does not count
+	if room.Placed < r.sent {
+		hidden = r.sent - room.Placed
+	}
+	if seen := len(r.unseen) - int(min(hidden, uint64(len(r.unseen)))); seen > 0 {
+		r.unseen = slices.Delete(r.unseen, 0, seen)
 	}
 	for _, n := range r.unseen {
 		r.Free = r.Free.Minus(n)
--- /dev/null
+++ b/internal/runner/main_test.go
@@ -0,0 +1,9 @@
+package runner
+
+import (
+	"testing"
+
+	"endivewing/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m, testkit.Rapid{Checks: 300}) }
