Requests wait for a process's start instead of being refused in it

Ruled out: minions (known 0.1 s after their runner's start), sessions. Change: for one second after its start a dispatcher lets callers wait until it has a configuration and a runner; patience counts from then on. Without one by then: 503, as before. Tests: TestJobsOfAStartAreServed, TestCallersWaitForTheStart.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -109,7 +109,7 @@
 		d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: ReasonDuplicate, RetryAfter: retryLeast})
 		return
 	}
-	o := newOpenJob(j)
+	o := newOpenJob(now, j)
 	if reason := d.impossible(o); reason != "" {
 		d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: reason, RetryAfter: retryMost})
 		return
@@ -348,7 +348,7 @@
 
 // patience is when a job that has not begun is refused.
 func (o *openJob) patience() time.Time {
-	return o.Arrived.Add(time.Duration(patienceShare * float64(o.Objective.Sub(o.Arrived))))
+	return o.taken.Add(time.Duration(patienceShare * float64(o.Objective.Sub(o.Arrived))))
 }
 
 // refuseLate refuses a job of which nothing has run when its patience is over.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -273,3 +273,38 @@
 	}
 	assert.DeepEqual(t, places(d.Take()), map[RunnerID]int{1: 1})
 }
+
+// TestRetiredRunnerGetsNoTasks: a runner that is to be given up ends what it has.
+func TestRetiredRunnerGetsNoTasks(t *testing.T) {
+	d := fleet()
+	d.Submit(ms(0), testJob(step(2, 4000)))
+	out := d.Take()
+	gone, end := ended(out, 0, runtable.Done, "")
+	d.Retire(gone, true)
+	outstanding := d.Outstanding(gone)
+	assert.Assert(t, outstanding > 0)
+	next := testJob(step(2, 4000))
+	next.ID = "next"
+	d.Submit(ms(1), next)
+	assert.Equal(t, places(d.Take())[gone], 0)
+	d.Ended(ms(2), gone, end)
+	assert.Equal(t, d.Outstanding(gone), outstanding-1)
+	d.Retire(gone, false)
+	free, capacity := d.Load()
+	assert.Assert(t, free > 0 && capacity == 20_000)
+}
+
+// TestJobsOfAStartAreServed: jobs that waited for the process to start are past
+// their patience, and some past their objective. With room they are served.
+func TestJobsOfAStartAreServed(t *testing.T) {
+	d := fleet()
+	late := testJob(step(1, 4000))
+	late.Objective = ms(150)
+	d.Submit(ms(500), late)
+	d.Tick(ms(501))
+	out := d.Take()
+	assert.Equal(t, len(out.Answers), 0)
+	assert.Equal(t, len(out.Placements), 1)
+	d.Ended(ms(600), out.Placements[0].Runner, TaskEnd{Ref: out.Placements[0].Runs[0], Outcome: runtable.Done})
+	assert.Equal(t, d.Take().Answers[0].Result, Completed)
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -43,6 +43,9 @@
 	// key is the latest time at which waiting work should begin.
 	key   time.Time
 	begun time.Time
+	// taken is when the job came to the dispatcher: later than it arrived when
+	// the process had to start first.
+	taken time.Time
 	// starts counts runs given to runners, unrun those of them that never ran,
 	// lost those whose end was not told.
 	starts, unrun, lost int
@@ -58,8 +61,8 @@
 // urgent queue's goes first.
 const priorityStep = 60 * time.Millisecond
 
-func newOpenJob(j *Job) *openJob {
-	o := &openJob{Job: j, tasks: make([][]task, len(j.Steps)), left: make([]int, len(j.Steps)), waiting: make([]int, len(j.Steps))}
+func newOpenJob(now time.Time, j *Job) *openJob {
+	o := &openJob{Job: j, taken: now, tasks: make([][]task, len(j.Steps)), left: make([]int, len(j.Steps)), waiting: make([]int, len(j.Steps))}
 	for i, s := range j.Steps {
 		o.tasks[i] = make([]task, s.Count)
 		o.left[i], o.waiting[i] = s.Count, s.Count
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -198,6 +198,7 @@
 		l.answer(a)
 	}
 	l.p.runners.Store(int64(l.core.Runners()))
+	l.p.checkStart()
 }
 
 func (l *loop) place(now time.Duration, p dispatch.Placement) {
--- a/internal/dispatcher/loop_test.go
+++ b/internal/dispatcher/loop_test.go
@@ -10,12 +10,16 @@
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/desired"
 	"endivewing/internal/dispatch"
 	"endivewing/internal/runner"
 	"endivewing/internal/runtable"
 	"endivewing/internal/steadytime"
 )
 
+// hangGuard is longer than any test.
+const hangGuard = time.Hour
+
 // testProcess is a dispatcher whose loop the test drives itself.
 func testProcess(name string) *Process {
 	p := &Process{
@@ -23,6 +27,7 @@
 		events: make(chan event, eventQueue),
 		quit:   make(chan struct{}),
 		ended:  make(chan struct{}),
+		start:  newStartGate(hangGuard),
 	}
 	p.links = newLinks(p)
 	p.loop = newLoop(p)
@@ -108,3 +113,29 @@
 	_, surplus = p.links.count(time.Now().Add(2 * retireAfter))
 	assert.Equal(t, surplus, more-part)
 }
+
+// TestCallersWaitForTheStart: a request that comes before the configuration and
+// the first runner waits for both, and no longer than the window.
+func TestCallersWaitForTheStart(t *testing.T) {
+	p := testProcess("d")
+	served := make(chan struct{})
+	go func() {
+		p.AwaitStart(t.Context())
+		close(served)
+	}()
+	p.table.Store(desired.NewTable(&desired.Document{Version: 1}))
+	p.loop.flush()
+	select {
+	case <-served:
+		t.Fatal("served without a runner")
+	default:
+	}
+	room := runtable.Need{CPU: 4000, Memory: 100}
+	p.loop.core.Report(time.Now(), 1, dispatch.Room{Service: "s", Endpoint: "i", Capacity: room, Free: room, Ready: true})
+	p.loop.flush()
+	<-served
+
+	late := testProcess("d")
+	late.start = newStartGate(0)
+	late.AwaitStart(t.Context())
+}
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -32,6 +32,7 @@
 	// refusing: new jobs are refused.
 	refusing atomic.Bool
 	open     sync.WaitGroup
+	start    *startGate
 
 	events chan event
 	quit   chan struct{}
@@ -48,6 +49,7 @@
 		events: make(chan event, eventQueue),
 		quit:   make(chan struct{}),
 		ended:  make(chan struct{}),
+		start:  newStartGate(startWindow),
 	}
 	p.links = newLinks(p)
 	p.loop = newLoop(p)
@@ -86,6 +88,7 @@
 		return
 	}
 	p.table.Store(desired.NewTable(document))
+	p.checkStart()
 	p.opts.Log.Info("document in force", "version", d.Version, "routes", len(document.Routes), "services", len(document.Services))
 }
 
@@ -105,6 +108,17 @@
 	return p.table.Load() != nil && p.runners.Load() > 0 && !p.leaving.Load()
 }
 
+// checkStart ends the start once there is a configuration and a runner.
+func (p *Process) checkStart() {
+	if p.table.Load() != nil && p.runners.Load() > 0 {
+		p.start.open()
+	}
+}
+
+// AwaitStart waits while the process has begun a moment ago and may serve in
+// the next: until it can, the start window is over, or ctx has ended.
+func (p *Process) AwaitStart(ctx context.Context) { p.start.wait(ctx) }
+
 // Run has a job run and returns its answer. When ctx ends first, the job is
 // given up.
 func (p *Process) Run(ctx context.Context, j *dispatch.Job) dispatch.Answer {
--- /dev/null
+++ b/internal/dispatcher/start.go
@@ -0,0 +1,38 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// startWindow is how long after its start a process lets callers wait for its
+// configuration and its first runner. After all hosts had no power these come
+// within half a second; later nobody knows when they will.
+const startWindow = time.Second
+
+// startGate holds requests back while a process starts.
+//
+// Load that it answers: all hosts come back from a power loss at the same time,
+// and callers with them, before the control group has elected its leader. A
+// request that waits some tenths of a second is served; one that is refused comes
+// back a second later.
+type startGate struct {
+	opened chan struct{}
+	once   sync.Once
+}
+
+func newStartGate(window time.Duration) *startGate {
+	g := &startGate{opened: make(chan struct{})}
+	time.AfterFunc(window, g.open)
+	return g
+}
+
+func (g *startGate) open() { g.once.Do(func() { close(g.opened) }) }
+
+func (g *startGate) wait(ctx context.Context) {
+	select {
+	case <-g.opened:
+	case <-ctx.Done():
+	}
+}
