Changed seeds stay in use at a control member

A member with an empty disk whose seeds had all been replaced never joined. Test: TestChangedSeedsLeadToTheGroup, timed out at 30 s before, 2 s after.

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -9,6 +9,7 @@
 	"context"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -65,6 +66,8 @@
 	id     *identity
 	member *control.Process
 	client *controlclient.Client
+	// seeds are the session addresses of the settings in force.
+	seeds  atomic.Pointer[[]string]
 	cancel context.CancelFunc
 	joined chan struct{}
 }
@@ -76,6 +79,7 @@
 		return nil, err
 	}
 	m := &Member{opts: opts, id: id, joined: make(chan struct{})}
+	m.seeds.Store(&opts.Seeds)
 	if m.member, err = control.Start(ctx, m.controlOptions()); err != nil {
 		return nil, eris.Wrap(err, "start control")
 	}
@@ -112,7 +116,7 @@
 	for _, p := range members {
 		all = append(all, p.Address)
 	}
-	all = append(all, m.opts.Seeds...)
+	all = append(all, *m.seeds.Load()...)
 	seen := map[string]bool{}
 	return slices.DeleteFunc(all, func(a string) bool {
 		known := seen[a]
@@ -155,8 +159,8 @@
 }
 
 // Reseed takes changed seeds in. They are used when the members known don't
-// answer.
-func (m *Member) Reseed(seeds []string) { m.client.SetAddresses(append(m.addresses(nil), seeds...)) }
+// answer, from the next look at the group on.
+func (m *Member) Reseed(seeds []string) { m.seeds.Store(&seeds) }
 
 // Put makes a document durable unless its version is not higher than the one
 // held. Errors: those of
--- a/internal/formation/formation_test.go
+++ b/internal/formation/formation_test.go
@@ -155,3 +155,20 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, members[1].Put(t.Context(), 3, []byte("v3")) != nil)
 }
+
+// TestChangedSeedsLeadToTheGroup: a host with an empty disk starts with seeds that
+// are all gone; its settings change, and it joins. The members known to it don't
+// push the seeds aside.
+func TestChangedSeedsLeadToTheGroup(t *testing.T) {
+	g := newGroup(t)
+	members := map[int]*Member{}
+	for i := 1; i <= 3; i++ {
+		members[i] = g.start(i, fmt.Sprint("disk", i), true)
+	}
+	g.put(members[1], 2)
+	seeds := g.seeds
+	g.seeds = []string{g.address(7), g.address(8), g.address(9)}
+	late := g.start(4, "disk4", false)
+	late.Reseed(seeds)
+	g.reads(late, 2)
+}
