--- a/internal/dispatcher/loop_test.go
+++ b/internal/dispatcher/loop_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
@@ -22,16 +21,7 @@
 
 // testProcess is a dispatcher whose loop the test drives itself.
 func testProcess(name string) *Process {
-	p := &Process{
-		opts:   Options{Name: name, Zone: "a", Cluster: "c", Log: logr.Discard(), Scope: tally.NoopScope},
-		events: make(chan event, eventQueue),
-		quit:   make(chan struct{}),
-		ended:  make(chan struct{}),
-		start:  newStartGate(hangGuard),
-	}
-	p.links = newLinks(p)
-	p.loop = newLoop(p)
-	return p
+	return newProcess(Options{Name: name, Zone: "a", Cluster: "c", Log: logr.Discard()}, hangGuard)
 }
 
 // TestJobsAreGivenUpAfterStandingStill: a process that was suspended may not go
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -41,6 +41,22 @@
 
 // Start connects to control and serves until Stop.
 func Start(opts Options) *Process {
+	p := newProcess(opts, startWindow)
+	go p.loop.run()
+	p.directory = directory.Start(directory.Options{
+		Seeds:    opts.Seeds,
+		Wire:     wire.Options{Hello: p.opts.hello, Scope: p.opts.Scope, Log: opts.Log},
+		Announce: p.announce,
+		Changed:  p.changed,
+		Log:      opts.Log,
+	})
+	opts.Log.Info("dispatcher started")
+	return p
+}
+
+// newProcess makes a process that does nothing yet; window is how long its
+// callers may wait for the start.
+func newProcess(opts Options, window time.Duration) *Process {
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -49,19 +65,10 @@
 		events: make(chan event, eventQueue),
 		quit:   make(chan struct{}),
 		ended:  make(chan struct{}),
-		start:  newStartGate(startWindow),
+		start:  newStartGate(window),
 	}
 	p.links = newLinks(p)
 	p.loop = newLoop(p)
-	go p.loop.run()
-	p.directory = directory.Start(directory.Options{
-		Seeds:    opts.Seeds,
-		Wire:     wire.Options{Hello: p.opts.hello, Scope: opts.Scope, Log: opts.Log},
-		Announce: p.announce,
-		Changed:  p.changed,
-		Log:      opts.Log,
-	})
-	opts.Log.Info("dispatcher started")
 	return p
 }
 
--- a/internal/formation/directory_test.go
+++ b/internal/formation/directory_test.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"fmt"
 	"sync"
 	"testing"
 
@@ -48,10 +47,7 @@
 // may be a newer one. Once there is a leader it tells that too.
 func TestLoneMemberTellsWhoServes(t *testing.T) {
 	g := newGroup(t)
-	members := map[int]*Member{}
-	for i := 1; i <= 3; i++ {
-		members[i] = g.start(i, fmt.Sprint("disk", i), true)
-	}
+	members := g.startAll()
 	g.put(members[1], 4)
 	for i := 1; i <= 3; i++ {
 		kill(members[i])
@@ -69,9 +65,7 @@
 // on a new session are told of as such.
 func TestDirectoryFollowsWhoComesAndGoes(t *testing.T) {
 	g := newGroup(t)
-	for i := 1; i <= 3; i++ {
-		g.start(i, fmt.Sprint("disk", i), true)
-	}
+	g.startAll()
 	dispatcher := visit(t, "dispatcher", "d", g.address(1))
 	first := visit(t, "runner", "r", g.address(1))
 	g.until("the runner is told of", func() bool { return dispatcher.sees(0, 2) })
--- a/internal/formation/formation_test.go
+++ b/internal/formation/formation_test.go
@@ -49,6 +49,16 @@
 	return m
 }
 
+// startAll starts the first group, by host.
+func (g *group) startAll() map[int]*Member {
+	g.t.Helper()
+	members := map[int]*Member{}
+	for i := 1; i <= 3; i++ {
+		members[i] = g.start(i, fmt.Sprint("disk", i), true)
+	}
+	return members
+}
+
 // kill ends a member without handing anything over.
 func kill(m *Member) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -102,10 +112,7 @@
 // votes again under a new number; then another is lost, and nothing is gone.
 func TestLostDiskIsReplacedByItself(t *testing.T) {
 	g := newGroup(t)
-	members := map[int]*Member{}
-	for i := 1; i <= 3; i++ {
-		members[i] = g.start(i, fmt.Sprint("disk", i), true)
-	}
+	members := g.startAll()
 	g.put(members[1], 5)
 	kill(members[2])
 	members[2] = g.start(2, "disk2-empty", false)
@@ -125,10 +132,7 @@
 // another address; the seeds no longer name all members.
 func TestHostAtAnotherAddress(t *testing.T) {
 	g := newGroup(t)
-	members := map[int]*Member{}
-	for i := 1; i <= 3; i++ {
-		members[i] = g.start(i, fmt.Sprint("disk", i), true)
-	}
+	members := g.startAll()
 	g.put(members[1], 2)
 	kill(members[3])
 	members[4] = g.start(4, "disk4", false)
@@ -144,10 +148,7 @@
 // TestMinorityAnswersNoRead: a member that can't be sure says so.
 func TestMinorityAnswersNoRead(t *testing.T) {
 	g := newGroup(t)
-	members := map[int]*Member{}
-	for i := 1; i <= 3; i++ {
-		members[i] = g.start(i, fmt.Sprint("disk", i), true)
-	}
+	members := g.startAll()
 	g.put(members[1], 2)
 	kill(members[2])
 	kill(members[3])
@@ -161,10 +162,7 @@
 // push the seeds aside.
 func TestChangedSeedsLeadToTheGroup(t *testing.T) {
 	g := newGroup(t)
-	members := map[int]*Member{}
-	for i := 1; i <= 3; i++ {
-		members[i] = g.start(i, fmt.Sprint("disk", i), true)
-	}
+	members := g.startAll()
 	g.put(members[1], 2)
 	seeds := g.seeds
 	g.seeds = []string{g.address(7), g.address(8), g.address(9)}
