--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -69,7 +69,8 @@
 
 // offer announces what the minion serves when it differs.
 func (p *Process) offer(r *Report) {
-	now := &offered{service: r.Service, traits: append(slices.Clone(r.Labels), fmt.Sprint("cpu=", r.Capacity.CPU))}
+	size := fmt.Sprintf("size=%d,%d,%d", r.Capacity.CPU, r.Capacity.Memory, r.Capacity.GPUs)
+	now := &offered{service: r.Service, traits: append(slices.Clone(r.Labels), size)}
 	if before := p.offered.Load(); before != nil && before.service == now.service && slices.Equal(before.traits, now.traits) {
 		return
 	}
