--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -48,7 +48,7 @@
 		case <-reload:
 			c.reload(n, log)
 		case <-ctx.Done():
-			n.Stop(context.WithoutCancel(ctx))
+			n.Leave(context.WithoutCancel(ctx)) // the process ends
 			return nil
 		case <-n.Done():
 			return n.Err()
--- a/internal/dispatcher/loop_test.go
+++ b/internal/dispatcher/loop_test.go
@@ -43,6 +43,7 @@
 	l.lastTick = steadytime.Now() - 2*stallAfter
 	l.checkStall()
 	l.flush()
+	assert.Equal(t, len(answer), 1)
 	assert.Equal(t, (<-answer).Reason, dispatch.ReasonStalled)
 	assert.Equal(t, l.core.Jobs(), 0)
 }
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -39,7 +39,7 @@
 	ended  chan struct{}
 }
 
-// Start connects to control and serves until Stop.
+// Start connects to control and serves until Close.
 func Start(opts Options) *Process {
 	p := newProcess(opts, startWindow)
 	go p.loop.run()
@@ -175,8 +175,9 @@
 // Reseed takes changed addresses of control members in.
 func (p *Process) Reseed(seeds []string) { p.directory.Reseed(seeds) }
 
-// Stop waits for the open jobs until ctx ends, and ends.
-func (p *Process) Stop(ctx context.Context) {
+// Finish waits until all open jobs are answered, or ctx ends. New ones are
+// refused meanwhile, and afterwards until Close.
+func (p *Process) Finish(ctx context.Context) {
 	began := time.Now()
 	p.Leave()
 	p.Refuse()
@@ -189,6 +190,13 @@
 	case <-idle:
 	case <-ctx.Done():
 	}
+	p.opts.Log.Info("dispatcher finished", "took", time.Since(began).String())
+}
+
+// Close ends the process and its sessions. That may take a while and hold up
+// other work of the process: nobody should be able to send requests any more.
+func (p *Process) Close() {
+	began := time.Now()
 	close(p.quit)
 	<-p.ended
 	p.directory.Close()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -149,9 +149,10 @@
 	}
 }
 
-// stopFleet ends the role: a dispatcher first leaves the balancer, then
-// answers what it has, and tells those who still come that it takes nothing.
-func (n *Node) stopFleet(ctx context.Context) {
+// leaveFleet ends the service of the role: a dispatcher first leaves the
+// balancer, then answers what it has, and tells those who still come that it
+// takes nothing. Its sessions are left open.
+func (n *Node) leaveFleet(ctx context.Context) {
 	f := &n.fleet
 	if f.dispatcher != nil {
 		n.log.Info("dispatcher stopping")
@@ -159,7 +160,7 @@
 		sleep.For(ctx, leaveBalancer)
 		f.dispatcher.Refuse()
 		answered, cancel := context.WithTimeout(ctx, time.Until(deadlineOf(ctx))-stopMargin)
-		f.dispatcher.Stop(answered)
+		f.dispatcher.Finish(answered)
 		cancel()
 	}
 	if f.runner != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,15 +173,26 @@
 	return nil
 }
 
-// Stop ends the roles gracefully: entries finish their jobs first, then
-// agents what runs, then control hands its leadership on. What is left after
-// the settings' stop timeout is cut.
+// Stop ends the node gracefully, with all that it holds.
 func (n *Node) Stop(ctx context.Context) {
+	n.Leave(ctx)
+	if n.fleet.dispatcher != nil {
+		n.fleet.dispatcher.Close()
+	}
+}
+
+// Leave ends the roles gracefully: entries finish their jobs first, then
+// agents what runs, then control hands its leadership on. What is left after
+// the settings' stop timeout is cut. Sessions of a dispatcher are left to the end
+// of the process, which has to follow at once: ending dozens of them can take the
+// better part of a second, and callers whose connections wait in the kernel notice
+// a fifth of one.
+func (n *Node) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout.D())
 	defer cancel()
 	defer n.cut()
 	began := time.Now()
-	n.stopFleet(ctx)
+	n.leaveFleet(ctx)
 	if n.entry != nil {
 		n.entry.Stop(ctx)
 	}
