--- a/internal/directory/client_test.go
+++ b/internal/directory/client_test.go
@@ -37,7 +37,7 @@
 				m.heard <- heard{s, a}
 			}
 		},
-		Log: logr.Discard(),
+		Heartbeat: SessionHeartbeat, Idle: hangGuard, Log: logr.Discard(),
 	})
 	assert.NilError(t, err)
 	m.listener = listener
@@ -160,10 +160,16 @@
 func TestChangedAnnouncementReachesEveryMember(t *testing.T) {
 	one, two := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
 	w := watch(t, one.listener.Address(), two.listener.Address())
-	one.next().tell(&wirepb.DirectoryUpdate{Document: &wirepb.Document{Version: 3}})
-	two.next()
+	atOne, atTwo := one.next(), two.next()
+	atOne.tell(&wirepb.DirectoryUpdate{Document: &wirepb.Document{Version: 3}})
 	w.until(3)
 	w.Announce()
-	assert.Equal(t, one.next().announce.KnownVersion, uint64(3))
-	assert.Equal(t, two.next().announce.KnownVersion, uint64(3))
+	for _, at := range []struct {
+		member *testMember
+		first  heard
+	}{{one, atOne}, {two, atTwo}} {
+		again := at.member.next()
+		assert.Equal(t, again.announce.KnownVersion, uint64(3))
+		assert.Assert(t, again.session == at.first.session)
+	}
 }
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -122,9 +122,6 @@
 // Unsettled tells whether a run waits for room, for the answer to its start, or
 // for its stop.
 func (t *Table) Unsettled() bool {
-	if len(t.queue) > 0 {
-		return true
-	}
 	for _, r := range t.runs {
 		if r.state != running {
 			return true
