Announcements are sent in the order in which they are made

Suspected by reading: a session that begins while the minion becomes known could send the older announcement last. One lock around making and sending; no test shows the race.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -67,8 +67,8 @@
 	document *wirepb.Document
 	// due: a call of Changed for the list of processes is on its way.
 	due bool
-	// publish orders calls of Changed.
-	publish sync.Mutex
+	// publish orders calls of Changed, and announcing what is announced.
+	publish, announcing sync.Mutex
 }
 
 type member struct {
@@ -180,7 +180,7 @@
 	s.Start()
 	c.opts.Log.Info("control member connected", "address", m.address)
 	c.connected(m, s)
-	_ = s.Send(wire.LaneUrgent, c.announcement())
+	c.announceOn(s)
 	select {
 	case <-s.Done():
 	case <-c.ctx.Done():
@@ -204,22 +204,33 @@
 	m.processes, m.peers = nil, nil
 }
 
-func (c *Client) announcement() *wirepb.Envelope {
+// announceOn tells what the process says of itself now. The order in which
+// announcements are made is that in which they are sent.
+func (c *Client) announceOn(sessions ...*wire.Session) {
+	c.announcing.Lock()
+	defer c.announcing.Unlock()
 	announce := c.opts.Announce()
 	announce.KnownVersion = c.version()
-	return &wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: announce}}
+	e := &wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: announce}}
+	for _, s := range sessions {
+		_ = s.Send(wire.LaneUrgent, e) // a session that ended is told on the next
+	}
 }
 
 // Announce tells all members anew what the process says of itself.
-func (c *Client) Announce() {
-	e := c.announcement()
+func (c *Client) Announce() { c.announceOn(c.sessions()...) }
+
+// sessions are those with the members connected now.
+func (c *Client) sessions() []*wire.Session {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var open []*wire.Session
 	for _, m := range c.members {
 		if m.session != nil {
-			_ = m.session.Send(wire.LaneUrgent, e) // a session that ended is told on the next
+			open = append(open, m.session)
 		}
 	}
+	return open
 }
 
 func (c *Client) version() uint64 {
