--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -17,6 +16,7 @@
 
 	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/controlclient"
+	"endivewing/internal/testkit"
 )
 
 func TestMain(m *testing.M) {
@@ -66,13 +66,11 @@
 	return c
 }
 
-// newPeer returns a new member on a free port, with an empty data folder.
+// newPeer returns a new member with an empty data folder. Its port stays free
+// until the member starts and while it is down.
 func (c *cluster) newPeer(id uint64) Peer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(c.t, err)
-	defer func() { _ = l.Close() }()
 	c.dirs[id] = c.t.TempDir()
-	return Peer{ID: id, Name: fmt.Sprint("control", id), Address: l.Addr().String(), Zone: "z"}
+	return Peer{ID: id, Name: fmt.Sprint("control", id), Address: fmt.Sprint("127.0.12.1:", testkit.Port()), Zone: "z"}
 }
 
 func (c *cluster) peer(id uint64) Peer {
--- a/internal/controlmember/controlmember_test.go
+++ b/internal/controlmember/controlmember_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"endivewing/internal/control"
+	"endivewing/internal/testkit"
 )
 
 // group is a control group on loopback addresses.
@@ -25,10 +25,7 @@
 
 func newGroup(t *testing.T) *group {
 	t.Helper()
-	l, err := net.Listen("tcp", "0.0.0.0:0")
-	assert.NilError(t, err)
-	g := &group{t: t, dir: t.TempDir(), port: l.Addr().(*net.TCPAddr).Port}
-	assert.NilError(t, l.Close())
+	g := &group{t: t, dir: t.TempDir(), port: testkit.Port()}
 	for i := 1; i <= 3; i++ {
 		g.seeds = append(g.seeds, g.address(i))
 	}
