A session that closes no longer spins until its receive loop has ended

Cause: yamux closes a session by waking the reads of its streams, closing the connection, waiting for its receive loop and only then marking the streams as closed. A read that was woken finds no data and no reason to return, and goes round in a loop. With one thread it takes the processor from the receive loop that it waits for, until it is preempted, again and again. Change: before the connection closes, the read deadlines of the lanes pass, so their reads return. Bytes that have arrived are still read first.

--- a/internal/wire/handshake.go
+++ b/internal/wire/handshake.go
@@ -17,12 +17,14 @@
 // muxWindowBytes is the flow-control window of one stream.
 const muxWindowBytes = 4 << 20
 
-func newMux(conn net.Conn, client bool) (*yamux.Session, error) {
+// newMux starts the stream multiplexer of a session. beforeClose is called
+// before the connection closes, also when the multiplexer itself closes it.
+func newMux(conn net.Conn, client bool, beforeClose func()) (*yamux.Session, error) {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false
 	cfg.MaxStreamWindowSize = muxWindowBytes
 	cfg.LogOutput = io.Discard
-	coalescing := &coalescingConn{Conn: conn}
+	coalescing := &coalescingConn{Conn: &closingConn{conn, beforeClose}}
 	if client {
 		return yamux.Client(coalescing, cfg)
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -21,6 +21,9 @@
 	lanes [laneCount]*lane
 	peer  *wirepb.Hello
 	meter *meter
+	// established is set once the handshake has ended. The lanes do not change
+	// any more.
+	established atomic.Bool
 
 	// lastReceived is the time at which bytes last arrived from the peer, in
 	// Unix nanoseconds.
@@ -72,12 +75,13 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return nil, eris.Wrap(err, "set handshake deadline")
 	}
-	mux, err := newMux(conn, client)
+	s := &Session{opts: opts, meter: newMeter(opts.Scope), done: make(chan struct{})}
+	s.calls.init()
+	mux, err := newMux(conn, client, s.expireReads)
 	if err != nil {
 		return nil, err
 	}
-	s := &Session{opts: opts, mux: mux, meter: newMeter(opts.Scope), done: make(chan struct{})}
-	s.calls.init()
+	s.mux = mux
 	if err := s.openLanes(client); err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -91,6 +95,7 @@
 		return nil, eris.Wrap(err, "clear handshake deadline")
 	}
 	s.lastReceived.Store(time.Now().UnixNano())
+	s.established.Store(true)
 	return s, nil
 }
 
