Elections after a start repeat every 50 ms until there is a leader

Change: until it hears from a leader, grants a vote or pre-vote, or starts an election, a member asks for pre-votes every 50 to 100 ms. They change no term; once an election has begun, timeouts are regular, so that slow disks are waited for. Tests: TestStartElectsOnceMembersReachEachOther, which failed before (no leader when the members were apart for 1 tick), TestStartElectionWaitsForSlowDisks.

--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -91,8 +91,8 @@
 	Tick           time.Duration
 	HeartbeatTicks int
 	ElectionTicks  int
-	// StartTicks is the minimum of the first election timeout after a start;
-	// 0 means ElectionTicks.
+	// StartTicks is the minimum election timeout after a start, until there is a
+	// leader or an election; 0 means ElectionTicks.
 	StartTicks int
 	// SnapshotEntries is the number of entries applied since the last snapshot
 	// after which another one is written. SnapshotBytes is the same limit for
--- a/internal/controlmember/controlmember.go
+++ b/internal/controlmember/controlmember.go
@@ -36,10 +36,9 @@
 	// electionTimeout is the time without a message of the leader after which
 	// an election starts.
 	electionTimeout = 500 * time.Millisecond
-	// startTicks is the time that a member waits for a leader after its start,
-	// in tenths of electionTimeout. It leaves time to open the sessions to the
-	// other members.
-	startTicks = 3
+	// startTicks is the time between two attempts of a member to be elected
+	// after its start, in tenths of electionTimeout, until there is a leader.
+	startTicks = 1
 	// snapshotEntries is the number of log entries between snapshots, and the
 	// number kept after one. It keeps the log short, because documents are
 	// large and few.
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -71,6 +71,8 @@
 	rounds int
 	// seed is the random seed of the election timeouts.
 	seed uint64
+	// startTicks is the StartTicks of members that start from now on.
+	startTicks int
 	// committed holds the applied entries of all members by index.
 	committed map[uint64]*wirepb.Entry
 	// leaders holds the leader of each term.
@@ -114,7 +116,7 @@
 		h.app = h.snap.state.clone()
 	}
 	core, err := New(Config{
-		ID: h.id, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks,
+		ID: h.id, ElectionTicks: testElectionTicks, StartTicks: c.startTicks, HeartbeatTicks: testHeartbeatTicks,
 		Seed: c.seed, MaxBatchBytes: 200, MaxInflight: 4,
 	}, s)
 	if err != nil {
@@ -326,6 +328,18 @@
 	return nil
 }
 
+// restartAll crashes every host and starts it again.
+func (c *cluster) restartAll() {
+	c.t.Helper()
+	c.undelivered = nil
+	for _, id := range c.ids {
+		c.crash(c.hosts[id], 0)
+	}
+	for _, id := range c.ids {
+		c.start(c.hosts[id])
+	}
+}
+
 // propose proposes entries at a host, delivers all messages and returns the
 // first index.
 func (c *cluster) propose(h *host, data ...[]byte) uint64 {
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -48,8 +48,12 @@
 	// ticks since the last quorum check. electionTimeoutTicks is the current
 	// election timeout, drawn at random.
 	electionElapsed, electionTimeoutTicks int
-	heartbeatElapsed                      int
-	votes                                 map[uint64]bool
+	// startPhase is set after a start until this member hears from a leader,
+	// grants a vote or pre-vote, or starts an election. Its election timeouts are
+	// short meanwhile.
+	startPhase       bool
+	heartbeatElapsed int
+	votes            map[uint64]bool
 
 	lead leaderState
 	out  outbox
@@ -98,10 +102,8 @@
 	}
 	c.out.hard = c.hard()
 	c.updateRole()
+	c.startPhase = cfg.StartTicks > 0
 	c.resetElectionTimer()
-	if cfg.StartTicks > 0 {
-		c.electionTimeoutTicks = cfg.StartTicks + c.rand.IntN(cfg.StartTicks)
-	}
 	return c, nil
 }
 
@@ -229,6 +231,7 @@
 		return eris.Wrapf(ErrBadMessage, "second leader %d in term %d", m.From, m.Term)
 	}
 	c.becomeFollower(c.term, m.From, member.leaderSeen)
+	c.endStartPhase()
 	c.electionElapsed = 0
 	switch b := m.Body.(type) {
 	case *wirepb.CoreMessage_AppendRequest:
@@ -297,8 +300,21 @@
 }
 
 func (c *Core) resetElectionTimer() {
+	ticks := c.cfg.ElectionTicks
+	if c.startPhase {
+		ticks = c.cfg.StartTicks
+	}
 	c.electionElapsed = 0
-	c.electionTimeoutTicks = c.cfg.ElectionTicks + c.rand.IntN(c.cfg.ElectionTicks)
+	c.electionTimeoutTicks = ticks + c.rand.IntN(ticks)
+}
+
+// endStartPhase makes the election timeouts regular: an election is in progress
+// or has ended, and its votes may take some time to reach the disks.
+func (c *Core) endStartPhase() {
+	if c.startPhase {
+		c.startPhase = false
+		c.resetElectionTimer()
+	}
 }
 
 func (c *Core) hasLiveLeader() bool {
--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -139,3 +139,43 @@
 	_, _, err := lead.core.Propose([]byte("x"))
 	assert.ErrorIs(t, err, ErrNotLeader)
 }
+
+// TestStartElectsOnceMembersReachEachOther replays the return of all members
+// after a power loss: their sessions open some ticks after their starts. A leader
+// is elected as soon as a quorum is connected, not a regular election timeout
+// later.
+func TestStartElectsOnceMembersReachEachOther(t *testing.T) {
+	for unreachable := range 2 * testElectionTicks {
+		c := newCluster(t, 3)
+		c.elect()
+		c.startTicks = 1
+		c.restartAll()
+		c.partitioned = func(uint64, uint64) bool { return true }
+		c.tick(unreachable)
+		c.partitioned = func(uint64, uint64) bool { return false }
+		c.tick(2)
+		assert.Assert(t, c.leader() != nil, "unreachable for %d ticks", unreachable)
+	}
+}
+
+// TestStartElectionWaitsForSlowDisks checks that the short timeouts of a start
+// don't end an election whose votes are still on their way to the disks.
+func TestStartElectionWaitsForSlowDisks(t *testing.T) {
+	c := newCluster(t, 3)
+	term := c.elect().core.term
+	c.startTicks = 1
+	c.restartAll()
+	c.autoSync = false
+	for range testElectionTicks - 1 {
+		c.tick(1)
+	}
+	for range 4 {
+		for _, id := range c.ids {
+			c.sync(c.hosts[id], len(c.hosts[id].unsynced))
+			c.drain(c.hosts[id])
+		}
+		c.settle()
+	}
+	assert.Assert(t, c.leader() != nil)
+	assert.Equal(t, c.leader().core.term, term+1)
+}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -27,6 +27,7 @@
 	c.term++
 	c.vote = c.cfg.ID
 	c.leader = 0
+	c.startPhase = false
 	c.resetElectionTimer()
 	c.votes = map[uint64]bool{}
 	for _, id := range c.otherMembers() {
@@ -60,11 +61,13 @@
 	}
 	switch {
 	case r.Pre && granted:
+		c.endStartPhase()
 		c.sendInTerm(term, from, voteResponse(true, true))
 	case r.Pre || !granted:
 		c.send(from, voteResponse(r.Pre, false))
 	default:
 		c.vote = from
+		c.endStartPhase()
 		c.electionElapsed = 0
 		c.sendAfterSync(from, voteResponse(false, true))
 	}
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -53,11 +53,12 @@
 	// ElectionTicks is the minimum election timeout, in ticks. Each timeout is
 	// drawn at random from [ElectionTicks, 2*ElectionTicks).
 	ElectionTicks int
-	// StartTicks is the minimum of the first election timeout after the start,
-	// in ticks. This timeout is drawn at random from [StartTicks,
-	// 2*StartTicks). If StartTicks is 0, ElectionTicks applies. A short first
-	// timeout does not depose a leader, because members that hear from one
-	// ignore vote requests.
+	// StartTicks is the minimum election timeout from the start until the member
+	// hears from a leader, grants a vote or pre-vote, or starts an election, in
+	// ticks. These timeouts are drawn at random from [StartTicks, 2*StartTicks). If
+	// StartTicks is 0, ElectionTicks applies. Short timeouts do not depose a
+	// leader, because members that hear from one ignore vote requests, and a
+	// lost pre-vote changes no term.
 	StartTicks int
 	// HeartbeatTicks is the heartbeat interval, in ticks.
 	HeartbeatTicks int
