Control members remember the minions of runners

Cause: after kill_all a runner waits for the next report of its minion, up to 1.5 s, before it offers any capacity. Change: runners announce the incarnation of their minion; each member keeps the records in a file of its own and gives them to a runner that comes back without. The runner asks the minion; only if that is the recorded incarnation (endpoint and start time) and it was not draining does its work go on. A record is a hint, so members need no agreement about it.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -63,6 +63,8 @@
 		known = &subscriber{version: a.announce.KnownVersion}
 		d.subscribers[a.session] = known
 	}
+	l.minions.remember(a.announce)
+	a.announce.Minion = nil // other processes do not need it
 	known.announce = a.announce
 	d.joined[a.session] = true
 }
@@ -99,7 +101,7 @@
 		d.changed = false
 	}
 	for session, to := range d.subscribers {
-		d.send(session, to, changeSet)
+		d.send(session, to, changeSet, l.minions.recall(to.announce))
 	}
 	clear(d.joined)
 	d.left, d.lastPublished = nil, now
@@ -142,8 +144,9 @@
 }
 
 // send sends one subscriber an update if it needs one. The first update to a
-// dispatcher lists all connected processes, later ones only the changes.
-func (d *directory) send(session *wire.Session, to *subscriber, c *changeSet) {
+// dispatcher lists all connected processes, later ones only the changes. The
+// first update to a runner has its last minion.
+func (d *directory) send(session *wire.Session, to *subscriber, c *changeSet, lastMinion *wirepb.MinionRecord) {
 	isDispatcher := to.announce.Role == roleDispatcher
 	if to.updateSent && !isDispatcher && !c.sendToAll && to.version >= c.document.GetVersion() {
 		return
@@ -159,6 +162,9 @@
 		update.Document = c.document
 		to.version = c.document.Version
 	}
+	if !to.updateSent {
+		update.LastMinion = lastMinion
+	}
 	to.updateSent = true
 	_ = session.Send(wire.LaneUrgent, &wirepb.Envelope{Body: &wirepb.Envelope_DirectoryUpdate{DirectoryUpdate: update}})
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -46,6 +46,7 @@
 	snapshots        snapshotSchedule
 	receivedSnapshot *snapshotReceived
 	directory        directory
+	minions          minionRecords
 	memberActivity   memberActivity
 
 	// unsyncedHard is a hard state that differs from the stored one only in its
@@ -76,6 +77,7 @@
 	l.waits.init()
 	l.disks.init(p.opts.ID, p.id.Disk)
 	l.directory.init()
+	l.minions.load(p)
 	l.memberActivity.init()
 	l.snapshots.lastIndex = applied
 	scope := p.opts.Scope
@@ -271,11 +273,12 @@
 	}
 }
 
-// runHousekeeping starts a snapshot if one is due. On the leader, it also runs
+// runHousekeeping writes a snapshot and the minion records if they are due. On the leader, it also runs
 // the periodic checks of leases, retention, disks and membership.
 func (l *loop) runHousekeeping(now time.Time) {
 	l.metrics.commitIndex.Update(float64(l.applied))
 	l.saveSnapshotIfDue()
+	l.minions.saveIfDue(l, now)
 	if !l.isCaughtUpLeader() {
 		return
 	}
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -48,7 +48,10 @@
 	Announce func() *wirepb.Announce
 	// OnChange is called after updates. Calls do not overlap.
 	OnChange func(View)
-	Log      logr.Logger
+	// OnLastMinion, if not nil, is called with the minion that a member remembers
+	// of this process.
+	OnLastMinion func(*wirepb.MinionRecord)
+	Log          logr.Logger
 }
 
 // View is the union of what the connected control members report.
@@ -254,6 +257,9 @@
 // handleUpdate applies an update and calls OnChange: at once for a newer
 // document, else after processListDelay for a changed process list.
 func (c *Client) handleUpdate(m *member, update *wirepb.DirectoryUpdate) {
+	if update.LastMinion != nil && c.opts.OnLastMinion != nil {
+		c.opts.OnLastMinion(update.LastMinion)
+	}
 	if c.applyUpdate(m, update) {
 		c.notify()
 		return
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -50,11 +50,12 @@
 	p.listener = listener
 	p.loop = newLoop(p)
 	p.directory = directory.Start(directory.Options{
-		Seeds:    opts.Seeds,
-		Wire:     wire.Options{Hello: p.opts.hello, Scope: opts.Scope, Log: opts.Log},
-		Announce: p.announce,
-		OnChange: func(directory.View) {}, // runners use no configuration document
-		Log:      opts.Log,
+		Seeds:        opts.Seeds,
+		Wire:         wire.Options{Hello: p.opts.hello, Scope: opts.Scope, Log: opts.Log},
+		Announce:     p.announce,
+		OnChange:     func(directory.View) {}, // runners use no configuration document
+		OnLastMinion: func(record *wirepb.MinionRecord) { p.enqueue(minionRecalled{record}) },
+		Log:          opts.Log,
 	})
 	go p.listener.Serve()
 	go p.loop.run()
@@ -64,15 +65,20 @@
 
 // announcement is what a runner announces about its minion.
 type announcement struct {
-	service string
-	traits  []string
+	traits []string
+	minion *wirepb.MinionRecord
 }
 
-// announceIfChanged announces what the minion serves if it has changed.
-func (p *Process) announceIfChanged(r *Report) {
+func newAnnouncement(r *Report) *announcement {
 	size := fmt.Sprintf("size=%d,%d,%d", r.Capacity.CPU, r.Capacity.Memory, r.Capacity.GPUs)
-	current := &announcement{service: r.Service, traits: append(slices.Clone(r.Labels), size)}
-	if previous := p.announcement.Load(); previous != nil && previous.service == current.service && slices.Equal(previous.traits, current.traits) {
+	return &announcement{traits: append(slices.Clone(r.Labels), size), minion: minionRecord(r)}
+}
+
+// announceIfChanged announces the minion if a property other than the number of
+// its last report has changed.
+func (p *Process) announceIfChanged(r *Report) {
+	current := newAnnouncement(r)
+	if previous := p.announcement.Load(); previous != nil && sameMinion(previous.minion, current.minion) {
 		return
 	}
 	p.announcement.Store(current)
@@ -86,7 +92,7 @@
 func (p *Process) announce() *wirepb.Announce {
 	a := &wirepb.Announce{Role: Role, Name: p.opts.Name, Zone: p.opts.Zone, Address: p.opts.Address}
 	if o := p.announcement.Load(); o != nil {
-		a.Service, a.Traits = o.service, o.traits
+		a.Service, a.Traits, a.Minion = o.minion.Service, o.traits, o.minion
 	}
 	return a
 }
--- /dev/null
+++ b/internal/runner/recall.go
@@ -0,0 +1,79 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/runtable"
+)
+
+// minionRecord returns what control members remember of a minion.
+func minionRecord(r *Report) *wirepb.MinionRecord {
+	return &wirepb.MinionRecord{
+		Endpoint: r.Endpoint, Service: r.Service, Labels: r.Labels, Capacity: needMessage(r.Capacity),
+		Draining: r.Draining, Sequence: r.Sequence, StartedUnixMs: r.StartedUnixMs,
+	}
+}
+
+// sameMinion reports whether two records differ at most in the number of the
+// last report.
+func sameMinion(a, b *wirepb.MinionRecord) bool {
+	b = proto.CloneOf(b)
+	b.Sequence = a.GetSequence()
+	return proto.Equal(a, b)
+}
+
+// reportOf returns the report that a record stands for.
+func reportOf(m *wirepb.MinionRecord) Report {
+	return Report{
+		Endpoint: m.Endpoint, Service: m.Service, Labels: m.Labels,
+		Capacity: runtable.Need{
+			CPU: int64(m.Capacity.GetCpuMilli()), Memory: int64(m.Capacity.GetMemoryMb()), GPUs: int64(m.Capacity.GetGpus()),
+		},
+		Sequence: m.Sequence, StartedUnixMs: m.StartedUnixMs,
+	}
+}
+
+// minionRecalled is the event of a control member that remembers the minion of
+// this runner from before its restart. All runners that are killed at once come
+// back within milliseconds, but a minion reports only every second or two. If
+// the minion confirms that it is still the recorded incarnation, its work goes
+// on without waiting for its report. A minion that was draining is not used.
+type minionRecalled struct{ record *wirepb.MinionRecord }
+
+func (e minionRecalled) handle(l *loop, now time.Time) {
+	if e.record.Draining || l.incarnation.Endpoint != "" {
+		return
+	}
+	c := PollCall{Endpoint: e.record.Endpoint, Fence: l.fence}
+	l.call(callTimeout, func(ctx context.Context) event {
+		lists, err := l.p.opts.Minion.Poll(ctx, c)
+		return recallAnswered{e.record, lists, err}
+	})
+}
+
+// recallAnswered is the answer of the minion that is asked whether a record
+// describes it. err is set if no reply came.
+type recallAnswered struct {
+	record *wirepb.MinionRecord
+	lists  PollAnswer
+	err    error
+}
+
+func (a recallAnswered) handle(l *loop, now time.Time) {
+	if l.incarnation.Endpoint != "" {
+		return // it has reported meanwhile, or another member remembers it too
+	}
+	if a.err != nil || a.lists.Status != Accepted || a.lists.StartedUnixMs != a.record.StartedUnixMs {
+		l.p.opts.Log.Info("recorded minion not confirmed", "endpoint", a.record.Endpoint, "born", a.record.StartedUnixMs,
+			"answered", a.err == nil, "verdict", callStatusNames[a.lists.Status], "present", a.lists.StartedUnixMs)
+		return
+	}
+	l.p.opts.Log.Info("recorded minion confirmed", "endpoint", a.record.Endpoint, "born", a.record.StartedUnixMs)
+	report := reportOf(a.record)
+	report.Clock = a.lists.Clock
+	l.beginIncarnation(now, report)
+}
