Processes dial control members every 30 ms in the 3 s after their start

Cause: after power_off_all hosts return within 0.3 s of each other. Members were there at 37.53 s, but dispatchers connected to them at 37.63 to 37.75 s, because their pauses between dials had grown to half a second and a dial of a host without power takes 150 ms; the configuration followed at 37.66 to 37.77 s.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -23,6 +23,15 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// startWindow is how long after its start a client dials members faster.
+	// After a power loss all hosts return within about a second, and a process
+	// serves nobody before it has found a member.
+	startWindow = 3 * time.Second
+	// startBackoff is the longest pause between two dials in the start window.
+	startBackoff = 30 * time.Millisecond
+	// startConnectTimeout is the connect timeout in the start window. A connection
+	// request to a host without power gets no reply.
+	startConnectTimeout = 50 * time.Millisecond
 	// SessionIdleTimeout is the idle timeout of a session with a member. It is short
 	// enough that a change reaches the process in time through another member.
 	SessionIdleTimeout = 1500 * time.Millisecond
@@ -64,10 +73,11 @@
 // Client keeps a session with each control member and merges their updates into
 // a View. It is safe for concurrent use.
 type Client struct {
-	opts   Options
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	opts    Options
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 
 	mu       sync.Mutex
 	members  map[string]*member
@@ -95,7 +105,7 @@
 
 // Start returns a client that dials the seeds.
 func Start(opts Options) *Client {
-	c := &Client{opts: opts, members: map[string]*member{}}
+	c := &Client{opts: opts, started: time.Now(), members: map[string]*member{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,6 +157,9 @@
 		if time.Since(start) > maxBackoff {
 			backoff = minBackoff
 		}
+		if c.inStartWindow() {
+			backoff = startBackoff
+		}
 		if !sleep.For(c.ctx, backoff/2+rand.N(backoff/2)) {
 			return
 		}
@@ -154,6 +167,15 @@
 	}
 }
 
+func (c *Client) inStartWindow() bool { return time.Since(c.started) < startWindow }
+
+func (c *Client) connectTimeout() time.Duration {
+	if c.inStartWindow() {
+		return startConnectTimeout
+	}
+	return wire.ShortConnectTimeout
+}
+
 // removeUnlisted removes a member that is not a seed, that no connected member
 // lists and that has been disconnected for unlistedMemberTimeout. It reports
 // whether it did.
@@ -181,7 +203,7 @@
 // runSession opens a session with a member and returns when it has ended.
 func (c *Client) runSession(m *member) {
 	opts := c.opts.Wire
-	opts.ConnectTimeout, opts.HeartbeatInterval, opts.IdleTimeout = wire.ShortConnectTimeout, SessionHeartbeatInterval, SessionIdleTimeout
+	opts.ConnectTimeout, opts.HeartbeatInterval, opts.IdleTimeout = c.connectTimeout(), SessionHeartbeatInterval, SessionIdleTimeout
 	opts.IgnoreLocalStalls = true
 	opts.Handler = func(_ *wire.Session, e *wirepb.Envelope) {
 		if update := e.GetDirectoryUpdate(); update != nil {
