--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -36,6 +36,12 @@
 	avoidEndpoint string
 }
 
+// avoids reports whether the task should run at another minion than the
+// runner's.
+func (t *task) avoids(r *runner) bool {
+	return t.avoidEndpoint != "" && t.avoidEndpoint == r.Endpoint
+}
+
 // openJob is a job that is not answered.
 type openJob struct {
 	*Job
