--- a/internal/controlmember/directory_test.go
+++ b/internal/controlmember/directory_test.go
@@ -1,10 +1,14 @@
 package controlmember
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
@@ -12,19 +16,32 @@
 	"endivewing/internal/wire"
 )
 
-// testProcess is a process connected to one member. It keeps the last view.
+// testProcess is a process connected to one member. It keeps the last view, and
+// the minion that the member remembers of it.
 type testProcess struct {
 	*directory.Client
-	mu   sync.Mutex
-	view directory.View
+	mu         sync.Mutex
+	view       directory.View
+	lastMinion *wirepb.MinionRecord
 }
 
 func connectProcess(t *testing.T, role, name, address string) *testProcess {
+	return connectAnnounced(t, &wirepb.Announce{Role: role, Name: name, Address: name}, address)
+}
+
+// connectAnnounced connects a process with a given announcement to a member.
+func connectAnnounced(t *testing.T, announce *wirepb.Announce, address string) *testProcess {
 	p := &testProcess{}
+	hello := &wirepb.Hello{Role: announce.Role, Name: announce.Name, Cluster: "test"}
 	p.Client = directory.Start(directory.Options{
 		Seeds:    []string{address},
-		Wire:     wire.Options{Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: role, Name: name, Cluster: "test"} }, Log: logr.Discard()},
-		Announce: func() *wirepb.Announce { return &wirepb.Announce{Role: role, Name: name, Address: name} },
+		Wire:     wire.Options{Hello: func() *wirepb.Hello { return proto.CloneOf(hello) }, Log: logr.Discard()},
+		Announce: func() *wirepb.Announce { return proto.CloneOf(announce) },
+		OnLastMinion: func(minion *wirepb.MinionRecord) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.lastMinion = minion
+		},
 		OnChange: func(view directory.View) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -82,3 +99,32 @@
 	again.Close()
 	g.waitFor("both runners have left", func() bool { return dispatcher.hasView(0, 1) })
 }
+
+// TestMemberRemembersMinions replays the kill of all processes: the first member
+// that is back, without a quorum, tells a runner which minion it had. Members do
+// not pass the record on to dispatchers.
+func TestMemberRemembersMinions(t *testing.T) {
+	g := newGroup(t)
+	members := g.startAll()
+	minion := &wirepb.MinionRecord{Endpoint: "i-1", Service: "s", StartedUnixMs: 5, Capacity: &wirepb.Need{CpuMilli: 16_000}}
+	connectAnnounced(t, &wirepb.Announce{Role: "runner", Name: "r", Address: "r", Service: "s", Minion: minion}, g.address(1))
+	dispatcher := connectProcess(t, "dispatcher", "d", g.address(1))
+	g.waitFor("the dispatcher sees the runner", func() bool { return dispatcher.hasView(0, 2) })
+	for _, process := range dispatcher.view.Processes {
+		assert.Assert(t, process.Minion == nil)
+	}
+	g.waitFor("the record is on disk", func() bool {
+		_, err := os.Stat(filepath.Join(g.dir, "disk1", "log", "minions"))
+		return !errors.Is(err, os.ErrNotExist)
+	})
+	for i := 1; i <= 3; i++ {
+		kill(members[i])
+	}
+	g.start(1, "disk1", false)
+	returned := connectProcess(t, "runner", "r", g.address(1))
+	g.waitFor("the runner knows its minion", func() bool {
+		returned.mu.Lock()
+		defer returned.mu.Unlock()
+		return proto.Equal(returned.lastMinion, minion)
+	})
+}
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -24,6 +24,8 @@
 	running map[runtable.RunID]bool
 	ended   []runtable.EndedRow
 	starts  int
+	// startedUnixMs is the start of the incarnation that lists are from.
+	startedUnixMs int64
 }
 
 func (m *fakeMinion) Start(_ context.Context, c StartCall) (Answer, error) {
@@ -47,7 +49,7 @@
 func (m *fakeMinion) Poll(_ context.Context, _ PollCall) (PollAnswer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lists := PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, Ended: m.ended}
+	lists := PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, StartedUnixMs: m.startedUnixMs, Ended: m.ended}
 	for ref := range m.running {
 		lists.Running = append(lists.Running, runtable.RunningRow{RunID: ref, Percent: 1})
 	}
