--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -179,3 +179,23 @@
 	assert.Assert(t, c.leader() != nil)
 	assert.Equal(t, c.leader().core.term, term+1)
 }
+
+// TestStartElectsOverSlowLinks checks that members whose answers take several of
+// the short timeouts of a start, and each a different time, elect a leader all
+// the same: answers to an earlier request count.
+func TestStartElectsOverSlowLinks(t *testing.T) {
+	c := newCluster(t, 5)
+	c.elect()
+	c.startTicks = 1
+	c.restartAll()
+	c.delay = func(from, to uint64) int { return int(from + to - 2) }
+	slowest := c.delay(4, 5)
+	for range 4*slowest + 4 {
+		for _, id := range c.ids {
+			c.hosts[id].core.Tick()
+			c.drain(c.hosts[id])
+		}
+		c.round()
+	}
+	assert.Assert(t, c.leader() != nil)
+}
