Jobs wait for a start for a quarter of the time to their objective

Hypothesis: a start deadline after a fifth refuses callers that could still be answered in time, now that urgent tasks wait at runners. Conclusion: 0.25 kept.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,9 +14,9 @@
 	// dispatcher ordered, or, if the runner itself is gone, the lease ends.
 	lostRunTimeout = 1800 * time.Millisecond
 	// startTimeoutShare is the share of the time until the objective for which
-	// a job may wait with nothing started before it is refused. Callers count a
-	// refusal as late after a quarter of that time, and estimates are rough.
-	startTimeoutShare = 0.2
+	// a job may wait with nothing started before it is refused. The rest is left
+	// for the work and for estimates that are too short.
+	startTimeoutShare = 0.25
 	// runNumberIncrement is added to a run number when the minion has already
 	// seen that number or a higher one.
 	runNumberIncrement = 16
