--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -101,7 +101,7 @@
 		d.changed = false
 	}
 	for session, to := range d.subscribers {
-		d.send(session, to, changeSet, l.minions.recall(to.announce))
+		d.send(session, to, changeSet, l.minions.lastMinion(to.announce))
 	}
 	clear(d.joined)
 	d.left, d.lastPublished = nil, now
--- a/internal/control/minions.go
+++ b/internal/control/minions.go
@@ -85,9 +85,9 @@
 	delete(m.records.Minions, oldest)
 }
 
-// recall returns the last minion of a runner that does not know its minion, or
+// lastMinion returns the last minion of a runner that does not know its minion, or
 // nil.
-func (m *minionRecords) recall(a *wirepb.Announce) *wirepb.MinionRecord {
+func (m *minionRecords) lastMinion(a *wirepb.Announce) *wirepb.MinionRecord {
 	if a.Role != roleRunner || a.Service != "" {
 		return nil
 	}
--- a/internal/control/minions_test.go
+++ b/internal/control/minions_test.go
@@ -44,10 +44,10 @@
 	m.remember(announceMinion("a", 2))
 	returned := &wirepb.Announce{Role: roleRunner, Address: "a"}
 	m.remember(returned)
-	assert.Equal(t, m.recall(returned).GetStartedUnixMs(), int64(2))
-	assert.Assert(t, m.recall(announceMinion("a", 2)) == nil)
-	assert.Assert(t, m.recall(&wirepb.Announce{Role: roleDispatcher, Address: "a"}) == nil)
-	assert.Assert(t, m.recall(&wirepb.Announce{Role: roleRunner, Address: "b"}) == nil)
+	assert.Equal(t, m.lastMinion(returned).GetStartedUnixMs(), int64(2))
+	assert.Assert(t, m.lastMinion(announceMinion("a", 2)) == nil)
+	assert.Assert(t, m.lastMinion(&wirepb.Announce{Role: roleDispatcher, Address: "a"}) == nil)
+	assert.Assert(t, m.lastMinion(&wirepb.Announce{Role: roleRunner, Address: "b"}) == nil)
 }
 
 // TestMinionRecordsAreBounded: when the records are full, that of the minion
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -54,7 +54,7 @@
 		Wire:         wire.Options{Hello: p.opts.hello, Scope: opts.Scope, Log: opts.Log},
 		Announce:     p.announce,
 		OnChange:     func(directory.View) {}, // runners use no configuration document
-		OnLastMinion: func(record *wirepb.MinionRecord) { p.enqueue(minionRecalled{record}) },
+		OnLastMinion: func(record *wirepb.MinionRecord) { p.enqueue(minionRemembered{record}) },
 		Log:          opts.Log,
 	})
 	go p.listener.Serve()
--- a/internal/runner/recall.go
+++ b/internal/runner/remembered.go
@@ -37,33 +37,33 @@
 	}
 }
 
-// minionRecalled is the event of a control member that remembers the minion of
+// minionRemembered is the event of a control member that remembers the minion of
 // this runner from before its restart. All runners that are killed at once come
 // back within milliseconds, but a minion reports only every second or two. If
 // the minion confirms that it is still the recorded incarnation, its work goes
 // on without waiting for its report. A minion that was draining is not used.
-type minionRecalled struct{ record *wirepb.MinionRecord }
+type minionRemembered struct{ record *wirepb.MinionRecord }
 
-func (e minionRecalled) handle(l *loop, now time.Time) {
+func (e minionRemembered) handle(l *loop, now time.Time) {
 	if e.record.Draining || l.incarnation.Endpoint != "" {
 		return
 	}
 	c := PollCall{Endpoint: e.record.Endpoint, Fence: l.fence}
 	l.call(callTimeout, func(ctx context.Context) event {
 		lists, err := l.p.opts.Minion.Poll(ctx, c)
-		return recallAnswered{e.record, lists, err}
+		return rememberedMinionAnswered{e.record, lists, err}
 	})
 }
 
-// recallAnswered is the answer of the minion that is asked whether a record
+// rememberedMinionAnswered is the answer of the minion that is asked whether a record
 // describes it. err is set if no reply came.
-type recallAnswered struct {
+type rememberedMinionAnswered struct {
 	record *wirepb.MinionRecord
 	lists  PollAnswer
 	err    error
 }
 
-func (a recallAnswered) handle(l *loop, now time.Time) {
+func (a rememberedMinionAnswered) handle(l *loop, now time.Time) {
 	if l.incarnation.Endpoint != "" {
 		return // it has reported meanwhile, or another member remembers it too
 	}
--- a/internal/runner/recall_test.go
+++ b/internal/runner/remembered_test.go
@@ -51,7 +51,7 @@
 // have been stopped.
 func TestRestartedRunnerFindsItsMinion(t *testing.T) {
 	p := startWithoutReport(t, 10)
-	p.enqueue(minionRecalled{recordOf(10)})
+	p.enqueue(minionRemembered{recordOf(10)})
 	waitForDump(t, p, func(d Dump) bool { return d.Ready })
 	d := p.Dump().(Dump)
 	assert.Equal(t, d.Endpoint, "i-1")
@@ -70,11 +70,11 @@
 	draining.Draining = true
 	confirmed := make(chan struct{})
 	for _, record := range []*wirepb.MinionRecord{draining, recordOf(10)} {
-		p.enqueue(minionRecalled{record})
+		p.enqueue(minionRemembered{record})
 	}
-	p.enqueue(recallAnswered{recordOf(10), PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, StartedUnixMs: 11}, nil})
-	p.enqueue(recallAnswered{recordOf(11), PollAnswer{Answer: Answer{Status: OtherIncarnation}}, nil})
-	p.enqueue(recallAnswered{recordOf(11), PollAnswer{}, context.DeadlineExceeded})
+	p.enqueue(rememberedMinionAnswered{recordOf(10), PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, StartedUnixMs: 11}, nil})
+	p.enqueue(rememberedMinionAnswered{recordOf(11), PollAnswer{Answer: Answer{Status: OtherIncarnation}}, nil})
+	p.enqueue(rememberedMinionAnswered{recordOf(11), PollAnswer{}, context.DeadlineExceeded})
 	p.enqueue(doneEvent{confirmed})
 	<-confirmed
 	assert.Equal(t, p.Dump().(Dump).Known, false)
