--- a/internal/runner/remembered.go
+++ b/internal/runner/remembered.go
@@ -45,7 +45,7 @@
 type minionRemembered struct{ record *wirepb.MinionRecord }
 
 func (e minionRemembered) handle(l *loop, now time.Time) {
-	if e.record.Draining || l.incarnation.Endpoint != "" {
+	if !l.mayUse(e.record) {
 		return
 	}
 	c := PollCall{Endpoint: e.record.Endpoint, Fence: l.fence}
@@ -55,6 +55,12 @@
 	})
 }
 
+// mayUse reports whether the minion of a record is to be asked: it was not
+// draining, and this runner knows no minion yet.
+func (l *loop) mayUse(record *wirepb.MinionRecord) bool {
+	return !record.Draining && l.incarnation.Endpoint == ""
+}
+
 // rememberedMinionAnswered is the answer of the minion that is asked whether a record
 // describes it. err is set if no reply came.
 type rememberedMinionAnswered struct {
--- a/internal/runner/remembered_test.go
+++ b/internal/runner/remembered_test.go
@@ -68,15 +68,18 @@
 	p := startWithoutReport(t, 11)
 	draining := recordOf(11)
 	draining.Draining = true
-	confirmed := make(chan struct{})
-	for _, record := range []*wirepb.MinionRecord{draining, recordOf(10)} {
-		p.enqueue(minionRemembered{record})
-	}
+	unstarted := newLoop(p)
+	assert.Assert(t, unstarted.mayUse(recordOf(11)))
+	assert.Assert(t, !unstarted.mayUse(draining))
+	unstarted.incarnation.Endpoint = "i-2"
+	assert.Assert(t, !unstarted.mayUse(recordOf(11)))
+	handled := make(chan struct{})
+	p.enqueue(minionRemembered{recordOf(10)})
 	p.enqueue(rememberedMinionAnswered{recordOf(10), PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, StartedUnixMs: 11}, nil})
 	p.enqueue(rememberedMinionAnswered{recordOf(11), PollAnswer{Answer: Answer{Status: OtherIncarnation}}, nil})
 	p.enqueue(rememberedMinionAnswered{recordOf(11), PollAnswer{}, context.DeadlineExceeded})
-	p.enqueue(doneEvent{confirmed})
-	<-confirmed
+	p.enqueue(doneEvent{handled})
+	<-handled
 	assert.Equal(t, p.Dump().(Dump).Known, false)
 }
 
