Files of package dispatch are named after their decisions

queue.go: order of waiting jobs; refuse.go: when a job is refused and when its caller may return; capacity.go: what is free; choose.go: which runner; place.go: the placement itself. Only moves: the sorted lines of the package differ by package clauses, imports and const parentheses alone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,22 +13,12 @@
 	// with its runner was lost. Within this time the runner stops what a silent
 	// dispatcher ordered, or, if the runner itself is gone, the lease ends.
 	lostRunTimeout = 1800 * time.Millisecond
-	// startTimeoutShare is the share of the time until the objective for which
-	// a job may wait with nothing started before it is refused. The rest is left
-	// for the work and for estimates that are too short.
-	startTimeoutShare = 0.25
 	// runNumberIncrement is added to a run number when the minion has already
 	// seen that number or a higher one.
 	runNumberIncrement = 16
 	// reviewInterval is the time between two checks of all open jobs. Waiting
 	// jobs are checked at every tick.
 	reviewInterval = 50 * time.Millisecond
-	// minRetryAfter is the shortest time after which the caller of a refused
-	// job is asked to retry.
-	minRetryAfter = time.Second
-	// maxRetryAfter is the longest time after which the caller of a refused job
-	// is asked to retry.
-	maxRetryAfter = 5 * time.Second
 )
 
 // Dispatcher decides on the jobs of one process. It is not safe for concurrent
@@ -84,19 +74,6 @@
 	return n
 }
 
-// CPUCapacity returns the free and the total processor capacity of the runners that
-// accept new tasks, in thousandths of a core, as last reported and less what
-// was placed since.
-func (d *Dispatcher) CPUCapacity() (free, capacity int64) {
-	for _, r := range d.sortedRunners {
-		if r.acceptsTasks() {
-			free += max(r.Free.CPU, 0)
-			capacity += r.Capacity.CPU
-		}
-	}
-	return free, capacity
-}
-
 // PendingJobs returns the number of jobs of a queue of which no task has been
 // placed.
 func (d *Dispatcher) PendingJobs(queue string) int {
@@ -126,50 +103,6 @@
 	d.lastChange = now
 }
 
-// unschedulableReason returns the reason why no known minion can run a job, or
-// "".
-func (d *Dispatcher) unschedulableReason(o *openJob) string {
-	known := slices.ContainsFunc(d.sortedRunners, func(r *runner) bool { return r.Service == o.Service })
-	if !known {
-		return ReasonNoMinion
-	}
-	for i := range o.Steps {
-		fits := func(r *runner) bool { return r.canRun(o.Service, &o.Steps[i]) }
-		if !slices.ContainsFunc(d.sortedRunners, fits) {
-			return ReasonTooLarge
-		}
-	}
-	return ""
-}
-
-func (d *Dispatcher) enqueue(o *openJob) {
-	if slices.Contains(d.queue, o) {
-		return
-	}
-	at, _ := slices.BinarySearchFunc(d.queue, o, compareUrgency)
-	d.queue = slices.Insert(d.queue, at, o)
-}
-
-// compareUrgency orders waiting jobs by their latest start, then by ID.
-func compareUrgency(a, b *openJob) int {
-	if c := a.latestStart.Compare(b.latestStart); c != 0 {
-		return c
-	}
-	if a.ID < b.ID {
-		return -1
-	}
-	if a.ID > b.ID {
-		return 1
-	}
-	return 0
-}
-
-func (d *Dispatcher) dequeue(o *openJob) {
-	if at := slices.Index(d.queue, o); at >= 0 {
-		d.queue = slices.Delete(d.queue, at, at+1)
-	}
-}
-
 // UpdateRunner replaces the state of a runner's minion. It adds the runner if its ID
 // is new.
 func (d *Dispatcher) UpdateRunner(now time.Time, id RunnerID, status RunnerStatus) {
@@ -327,25 +260,6 @@
 	}
 }
 
-// retryAfter estimates when a refused caller should retry: the time to work off
-// the backlog, within bounds.
-func (d *Dispatcher) retryAfter() time.Duration {
-	var backlog, capacity float64
-	for _, o := range d.queue {
-		for i, n := range o.waiting {
-			backlog += float64(n) * float64(o.Steps[i].Need.CPU) * o.Steps[i].Estimate.Seconds()
-		}
-	}
-	for _, r := range d.sortedRunners {
-		capacity += float64(r.Capacity.CPU)
-	}
-	if capacity == 0 {
-		return maxRetryAfter
-	}
-	wait := time.Duration(backlog / capacity * float64(time.Second))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
-}
-
 // Tick refuses jobs that have waited too long, requeues runs with unknown
 // outcome, and ends overdue jobs.
 func (d *Dispatcher) Tick(now time.Time) {
@@ -361,22 +275,6 @@
 	d.lastChange = now
 }
 
-// startDeadline returns the time after which a job of which nothing has started
-// is refused.
-func (o *openJob) startDeadline() time.Time {
-	return o.submittedAt.Add(time.Duration(startTimeoutShare * float64(o.Objective.Sub(o.Arrived))))
-}
-
-// refuseExpired refuses a job that is past its start deadline if none of its
-// tasks can have run. It reports whether it did.
-func (d *Dispatcher) refuseExpired(now time.Time, o *openJob) bool {
-	if o.mayHaveRun() || !now.After(o.startDeadline()) {
-		return false
-	}
-	d.answer(now, o, Refused, ReasonNoCapacity)
-	return true
-}
-
 // review requeues the unresolved runs of a job that must have ended, and ends
 // the job if it is overdue.
 func (d *Dispatcher) review(now time.Time, o *openJob) {
