--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -273,8 +273,9 @@
 	}
 }
 
-// runHousekeeping writes a snapshot and the minion records if they are due. On the leader, it also runs
-// the periodic checks of leases, retention, disks and membership.
+// runHousekeeping writes a snapshot and the minion records if they are due. On
+// the leader, it also runs the periodic checks of leases, retention, disks and
+// membership.
 func (l *loop) runHousekeeping(now time.Time) {
 	l.metrics.commitIndex.Update(float64(l.applied))
 	l.saveSnapshotIfDue()
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -37,9 +37,10 @@
 // capacity: those of the most urgent jobs and of jobs that have begun.
 //
 // It answers the load of a full fleet with work waiting at several dispatchers.
-// Capacity that comes free is reported to all of them, and went to the task that
-// arrived first, some milliseconds later. A task that waits at the runner gets
-// it at once, and of the tasks of several dispatchers the most urgent one does.
+// Capacity that comes free is reported to all of them; without tasks at the
+// runner it would stay unused until one arrives, and go to the first. A task that
+// waits there gets it at once, and of those of several dispatchers the most
+// urgent one does.
 func (o *openJob) mayWaitAtRunner() bool {
 	return o.Priority < allOrNothingPriority || o.hasRun
 }
--- a/internal/runner/remembered.go
+++ b/internal/runner/remembered.go
@@ -40,8 +40,9 @@
 // minionRemembered is the event of a control member that remembers the minion of
 // this runner from before its restart. All runners that are killed at once come
 // back within milliseconds, but a minion reports only every second or two. If
-// the minion confirms that it is still the recorded incarnation, its work goes
-// on without waiting for its report. A minion that was draining is not used.
+// the minion confirms that it is still the recorded incarnation, the runner
+// offers its capacity without waiting for its report. A minion that was draining
+// is not used.
 type minionRemembered struct{ record *wirepb.MinionRecord }
 
 func (e minionRemembered) handle(l *loop, now time.Time) {
