What a newcomer read twice: needs, a runner's announcement, records of several members

Cause: the conversion between a need and its message stood in three places (the new records would have been the fourth); a runner kept traits that follow from the minion record that it keeps too; every control member sends a returned runner the same record, and the runner asked its minion once for each, up to nine times. Change: runtable.NeedOf and Need.Message; the announcement is the record, traits are computed from it; a record equal to the one being asked about is not asked about again. Decisions of placement are untouched.

--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -109,15 +109,11 @@
 	}
 	l.core.UpdateRunner(now, s.id, dispatch.RunnerStatus{
 		Name: s.link.name, Zone: s.link.zone, Service: status.GetService(), Endpoint: status.GetEndpoint(), Labels: status.GetLabels(),
-		Capacity: need(status.GetCapacity()), Free: need(status.GetFree()), Ready: status.GetReady(), Placed: status.GetPlaced(),
+		Capacity: runtable.NeedOf(status.GetCapacity()), Free: runtable.NeedOf(status.GetFree()), Ready: status.GetReady(), Placed: status.GetPlaced(),
 		RuntimeRatio: float64(status.GetPaceMilli()) / 1000, FailureRate: float64(status.GetSuspicionMilli()) / 1000,
 	})
 }
 
-func need(n *wirepb.Need) runtable.Need {
-	return runtable.Need{CPU: int64(n.GetCpuMilli()), Memory: int64(n.GetMemoryMb()), GPUs: int64(n.GetGpus())}
-}
-
 var outcomes = map[wirepb.RunOutcome]runtable.Outcome{
 	wirepb.RunOutcome_RUN_OUTCOME_DONE:    runtable.Done,
 	wirepb.RunOutcome_RUN_OUTCOME_FAILED:  runtable.Failed,
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -213,12 +213,10 @@
 	step := &p.Job.Steps[p.Step]
 	stamp := s.runnerClock(now)
 	message := &wirepb.PlaceTasks{
-		Job:  p.Job.ID,
-		Step: uint32(p.Step),
-		Spec: p.Job.Spec,
-		Need: &wirepb.Need{
-			CpuMilli: uint32(step.Need.CPU), MemoryMb: uint32(step.Need.Memory), Gpus: uint32(step.Need.GPUs),
-		},
+		Job:        p.Job.ID,
+		Step:       uint32(p.Step),
+		Spec:       p.Job.Spec,
+		Need:       step.Need.Message(),
 		Tasks:      taskRuns(p.Runs),
 		Key:        stamp + time.Until(p.Key).Milliseconds(),
 		EstimateMs: uint32(step.Estimate.Milliseconds()),
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -142,9 +142,7 @@
 	return runtable.Order{
 		TaskID: runtable.TaskID{Job: p.Job, Step: p.Step, Index: t.Index},
 		Run:    t.Run, Owner: owner, Spec: p.Spec,
-		Need: runtable.Need{
-			CPU: int64(p.Need.GetCpuMilli()), Memory: int64(p.Need.GetMemoryMb()), GPUs: int64(p.Need.GetGpus()),
-		},
+		Need:     runtable.NeedOf(p.Need),
 		Key:      p.Key,
 		Estimate: time.Duration(p.EstimateMs) * time.Millisecond,
 		Expires:  now.Add(time.Duration(p.WaitMs) * time.Millisecond),
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -37,6 +37,9 @@
 	// responsive reports whether the minion was reachable at the last update of the
 	// readiness.
 	responsive bool
+	// recordAsked is the record that the minion is being asked about; nil if there
+	// is none.
+	recordAsked *wirepb.MinionRecord
 	// lastPollError is the reason of the last failed poll.
 	lastPollError string
 	// lastUnanswered is when a call to the minion last ended without a reply.
@@ -298,8 +301,8 @@
 		Service:        l.incarnation.Service,
 		Endpoint:       l.incarnation.Endpoint,
 		Labels:         l.incarnation.Labels,
-		Capacity:       needMessage(l.table.Capacity()),
-		Free:           needMessage(l.table.Free()),
+		Capacity:       l.table.Capacity().Message(),
+		Free:           l.table.Free().Message(),
 		Ready:          l.table.Ready(),
 		StampMs:        boottime.Now().Milliseconds(),
 		PaceMilli:      uint32(l.table.RuntimeRatio() * 1000),
@@ -307,14 +310,6 @@
 	}
 }
 
-// needMessage converts a need to its message. Negative values, as they occur while
-// the minion shrinks, become 0.
-func needMessage(n runtable.Need) *wirepb.Need {
-	return &wirepb.Need{
-		CpuMilli: uint32(max(n.CPU, 0)), MemoryMb: uint32(max(n.Memory, 0)), Gpus: uint32(max(n.GPUs, 0)),
-	}
-}
-
 // call performs a call to the minion in a goroutine of its own and enqueues
 // the event that do returns.
 func (l *loop) call(timeout time.Duration, do func(ctx context.Context) event) {
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +20,9 @@
 	directory *directory.Client
 	loop      *loop
 
-	// announcement is what the minion serves. Dispatchers choose runners by it.
-	announcement atomic.Pointer[announcement]
+	// minion is what is announced about the minion; nil until it is known.
+	// Dispatchers choose runners by it.
+	minion atomic.Pointer[wirepb.MinionRecord]
 
 	events   chan event
 	quit     chan struct{}
@@ -63,25 +62,14 @@
 	return p, nil
 }
 
-// announcement is what a runner announces about its minion.
-type announcement struct {
-	traits []string
-	minion *wirepb.MinionRecord
-}
-
-func newAnnouncement(r *Report) *announcement {
-	size := fmt.Sprintf("size=%d,%d,%d", r.Capacity.CPU, r.Capacity.Memory, r.Capacity.GPUs)
-	return &announcement{traits: append(slices.Clone(r.Labels), size), minion: minionRecord(r)}
-}
-
 // announceIfChanged announces the minion if a property other than the number of
 // its last report has changed.
 func (p *Process) announceIfChanged(r *Report) {
-	current := newAnnouncement(r)
-	if previous := p.announcement.Load(); previous != nil && sameMinion(previous.minion, current.minion) {
+	current := minionRecord(r)
+	if sameMinion(p.minion.Load(), current) {
 		return
 	}
-	p.announcement.Store(current)
+	p.minion.Store(current)
 	p.directory.Announce()
 }
 
@@ -91,8 +79,8 @@
 
 func (p *Process) announce() *wirepb.Announce {
 	a := &wirepb.Announce{Role: Role, Name: p.opts.Name, Zone: p.opts.Zone, Address: p.opts.Address}
-	if o := p.announcement.Load(); o != nil {
-		a.Service, a.Traits, a.Minion = o.minion.Service, o.traits, o.minion
+	if m := p.minion.Load(); m != nil {
+		a.Service, a.Traits, a.Minion = m.Service, minionTraits(m), m
 	}
 	return a
 }
--- a/internal/runner/remembered.go
+++ b/internal/runner/remembered.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,16 +15,26 @@
 // minionRecord returns what control members remember of a minion.
 func minionRecord(r *Report) *wirepb.MinionRecord {
 	return &wirepb.MinionRecord{
-		Endpoint: r.Endpoint, Service: r.Service, Labels: r.Labels, Capacity: needMessage(r.Capacity),
+		Endpoint: r.Endpoint, Service: r.Service, Labels: r.Labels, Capacity: r.Capacity.Message(),
 		Draining: r.Draining, Sequence: r.Sequence, StartedUnixMs: r.StartedUnixMs,
 	}
 }
 
+// minionTraits returns the properties of a minion in which it may differ from
+// others.
+func minionTraits(m *wirepb.MinionRecord) []string {
+	size := fmt.Sprintf("size=%d,%d,%d", m.Capacity.GetCpuMilli(), m.Capacity.GetMemoryMb(), m.Capacity.GetGpus())
+	return append(slices.Clone(m.Labels), size)
+}
+
 // sameMinion reports whether two records differ at most in the number of the
-// last report.
+// last report. a may be nil.
 func sameMinion(a, b *wirepb.MinionRecord) bool {
+	if a == nil {
+		return false
+	}
 	b = proto.CloneOf(b)
-	b.Sequence = a.GetSequence()
+	b.Sequence = a.Sequence
 	return proto.Equal(a, b)
 }
 
@@ -30,10 +42,7 @@
 func reportOf(m *wirepb.MinionRecord) Report {
 	return Report{
 		Endpoint: m.Endpoint, Service: m.Service, Labels: m.Labels,
-		Capacity: runtable.Need{
-			CPU: int64(m.Capacity.GetCpuMilli()), Memory: int64(m.Capacity.GetMemoryMb()), GPUs: int64(m.Capacity.GetGpus()),
-		},
-		Sequence: m.Sequence, StartedUnixMs: m.StartedUnixMs,
+		Capacity: runtable.NeedOf(m.Capacity), Sequence: m.Sequence, StartedUnixMs: m.StartedUnixMs,
 	}
 }
 
@@ -49,6 +58,7 @@
 	if !l.mayUse(e.record) {
 		return
 	}
+	l.recordAsked = e.record
 	c := PollCall{Endpoint: e.record.Endpoint, Fence: l.fence}
 	l.call(callTimeout, func(ctx context.Context) event {
 		lists, err := l.p.opts.Minion.Poll(ctx, c)
@@ -57,9 +67,10 @@
 }
 
 // mayUse reports whether the minion of a record is to be asked: it was not
-// draining, and this runner knows no minion yet.
+// draining, this runner knows no minion yet, and it is not asking about the same
+// record of another member.
 func (l *loop) mayUse(record *wirepb.MinionRecord) bool {
-	return !record.Draining && l.incarnation.Endpoint == ""
+	return !record.Draining && l.incarnation.Endpoint == "" && !sameMinion(l.recordAsked, record)
 }
 
 // rememberedMinionAnswered is the answer of the minion that is asked whether a record
@@ -71,6 +82,7 @@
 }
 
 func (a rememberedMinionAnswered) handle(l *loop, now time.Time) {
+	l.recordAsked = nil
 	if l.incarnation.Endpoint != "" {
 		return // it has reported meanwhile, or another member remembers it too
 	}
--- a/internal/runner/remembered_test.go
+++ b/internal/runner/remembered_test.go
@@ -71,7 +71,10 @@
 	unstarted := newLoop(p)
 	assert.Assert(t, unstarted.mayUse(recordOf(11)))
 	assert.Assert(t, !unstarted.mayUse(draining))
-	unstarted.incarnation.Endpoint = "i-2"
+	unstarted.recordAsked = recordOf(11)
+	assert.Assert(t, !unstarted.mayUse(recordOf(11)))
+	assert.Assert(t, unstarted.mayUse(recordOf(12)))
+	unstarted.recordAsked, unstarted.incarnation.Endpoint = nil, "i-2"
 	assert.Assert(t, !unstarted.mayUse(recordOf(11)))
 	handled := make(chan struct{})
 	p.enqueue(minionRemembered{recordOf(10)})
