Test of a new incarnation waits until the agent listens

Seen once, beside load: TestNewIncarnationHasNoStateOfTheOld (go test -race -count=2 ./internal/agent), dial: connection refused. Cause: an agent's later incarnations open their listener in a goroutine of their own and may be listed before; the test dialed as soon as it was listed. Shown by a pause of 20 ms before the listener opens: 3 of 3 plays fail with the same line; with the mend and the pause 0 of 3. Entries dial again too, so the product is not concerned. No check is eased: the test still needs the session, the grant and the same starts. Measured: go test -race -count=3 ./internal/agent, 0 failed.

--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -132,18 +132,24 @@
 	return nil
 }
 
-// connect opens a new session and waits until the agent grants slots. Messages
-// that arrive before the grant are dropped.
+// connect opens a new session and waits until the agent grants slots. A new
+// incarnation may be listed before its listener is open, so connect dials again
+// until it is. Messages that arrive before the grant are dropped.
 func (f *fixture) connect() {
 	inbox := make(chan *wirepb.Envelope, 10000)
-	s, err := wire.Dial(context.Background(), f.agent.Address(), wire.Options{
+	opts := wire.Options{
 		Hello: func() *wirepb.Hello {
 			return &wirepb.Hello{Role: "entry", Name: "e", Cluster: "c", Incarnation: f.entry.Incarnation()}
 		},
 		Handler: func(_ *wire.Session, e *wirepb.Envelope) { inbox <- e },
 		Log:     logr.Discard(),
+	}
+	var s *wire.Session
+	f.waitUntil("a session with the agent", func() (connected bool) {
+		var err error
+		s, err = wire.Dial(context.Background(), f.agent.Address(), opts)
+		return err == nil
 	})
-	assert.NilError(f.t, err)
 	s.Start()
 	f.t.Cleanup(s.Close)
 	f.session, f.inbox = s, inbox
