--- a/internal/agent/minion.go
+++ b/internal/agent/minion.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -173,7 +172,7 @@
 // waitReachable dials the minion until it accepts a connection, with exponential
 // backoff and jitter. It reports false if ctx ended first.
 func (m *minionClient) waitReachable(ctx context.Context) bool {
-	backoff := minProbeBackoff
+	backoff := sleep.Backoff{Min: minProbeBackoff, Max: maxProbeBackoff}
 	dialer := net.Dialer{Timeout: minionDialTimeout}
 	for ctx.Err() == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", m.address)
@@ -181,8 +180,7 @@
 			_ = conn.Close()
 			return true
 		}
-		sleep.For(ctx, backoff/2+rand.N(backoff/2))
-		backoff = min(2*backoff, maxProbeBackoff)
+		backoff.Wait(ctx)
 	}
 	return false
 }
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/sleep"
 	"endivewing/internal/wire"
 )
 
@@ -152,18 +152,16 @@
 // until ctx ends. The backoff has a random part.
 func (l *link) run(ctx context.Context) {
 	defer close(l.ended)
-	backoff := minRedialBackoff
+	backoff := sleep.Backoff{Min: minRedialBackoff, Max: maxRedialBackoff}
 	for ctx.Err() == nil {
 		s, err := wire.Dial(ctx, l.address, l.opts)
 		if err == nil {
-			backoff = minRedialBackoff
+			backoff.Reset()
 			l.serve(ctx, s)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff/2 + rand.N(backoff/2)):
+		if !backoff.Wait(ctx) {
+			return
 		}
-		backoff = min(2*backoff, maxRedialBackoff)
 	}
 }
 
--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -117,17 +116,16 @@
 // maintain dials a runner again whenever its session has ended, with a backoff.
 func (l *links) maintain(k *link) {
 	defer l.done.Done()
-	backoff := minRedialBackoff
+	backoff := sleep.Backoff{Min: minRedialBackoff, Max: maxRedialBackoff}
 	for l.ctx.Err() == nil && !l.dropUnneeded(k) {
 		began := time.Now()
 		l.runSession(k)
 		if time.Since(began) > maxRedialBackoff {
-			backoff = minRedialBackoff
+			backoff.Reset()
 		}
-		if !sleep.For(l.ctx, backoff/2+rand.N(backoff/2)) {
+		if !backoff.Wait(l.ctx) {
 			return
 		}
-		backoff = min(2*backoff, maxRedialBackoff)
 	}
 }
 
