Runner: logs and counters that tell the hypotheses of the incident apart

The record can't tell a run that the runner forgot from one whose runner stood still or whose minion was replaced by a report. New: a line and a counter for each run that a list of the minion names and the table does not know, a line and a counter when a tick is 0.1 s late or more, the endpoint in 'run ended', and in 'minion began' the incarnation before with the number of its runs. No decision changes; tests of runner, runtable, node and deploy pass.

--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -50,7 +50,8 @@
 // beginIncarnation applies the first report of a new incarnation of the minion.
 func (l *loop) beginIncarnation(now time.Time, r Report) {
 	l.p.opts.Log.Info("minion began", "endpoint", r.Endpoint, "born", r.StartedUnixMs, "service", r.Service,
-		"cpu", r.Capacity.CPU, "labels", r.Labels, "draining", r.Draining)
+		"cpu", r.Capacity.CPU, "labels", r.Labels, "draining", r.Draining,
+		"before", l.incarnation.Endpoint, "before_born", l.incarnation.StartedUnixMs, "runs", l.table.Running())
 	l.incarnation = incarnation{Report: r, active: true}
 	l.lease.reset()
 	l.lease.recordClock(now, r.Clock)
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -95,9 +95,14 @@
 
 type loopMetrics struct {
 	starts, unanswered, polls tally.Counter
-	ends                      map[runtable.Outcome]tally.Counter
-	running                   tally.Gauge
-	runTime                   tally.Histogram
+	// unknownRuns counts runs that a list of the minion contained and the table
+	// did not.
+	unknownRuns tally.Counter
+	// stalls counts the times that the loop was late by stallLogThreshold.
+	stalls  tally.Counter
+	ends    map[runtable.Outcome]tally.Counter
+	running tally.Gauge
+	runTime tally.Histogram
 }
 
 func newLoop(p *Process) *loop {
@@ -113,12 +118,14 @@
 		dispatchers: map[*wire.Session]*dispatcher{},
 		byOwner:     map[runtable.Owner]*dispatcher{},
 		metrics: loopMetrics{
-			starts:     scope.Counter("starts"),
-			unanswered: scope.Counter("calls_unanswered"),
-			polls:      scope.Counter("holds"),
-			ends:       ends,
-			running:    scope.Gauge("running"),
-			runTime:    scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.6, 16)),
+			starts:      scope.Counter("starts"),
+			unanswered:  scope.Counter("calls_unanswered"),
+			polls:       scope.Counter("holds"),
+			unknownRuns: scope.Counter("unknown_runs"),
+			stalls:      scope.Counter("stalls"),
+			ends:        ends,
+			running:     scope.Gauge("running"),
+			runTime:     scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.6, 16)),
 		},
 	}
 }
@@ -138,6 +145,7 @@
 			e.handle(l, time.Now())
 			l.handleQueued()
 		case now := <-timer.C:
+			l.recordStall(time.Since(now))
 			l.tick(now)
 			ticked = now
 		case <-l.p.quit:
@@ -175,6 +183,16 @@
 	}
 }
 
+// recordStall logs that the loop handled a tick late, since the process had no
+// processor time or was suspended.
+func (l *loop) recordStall(late time.Duration) {
+	if late < stallLogThreshold {
+		return
+	}
+	l.metrics.stalls.Inc(1)
+	l.p.opts.Log.Info("process stood still", "late_ms", late.Milliseconds(), "runs", l.table.Running(), "events", len(l.p.events))
+}
+
 func (l *loop) tick(now time.Time) {
 	if l.lease.expired(now) && l.table.Running() > 0 {
 		l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
@@ -205,6 +223,10 @@
 	for _, ref := range out.Stops {
 		l.sendStop(ref)
 	}
+	for _, ref := range out.Unknown {
+		l.metrics.unknownRuns.Inc(1)
+		l.p.opts.Log.Info("unknown run at minion", "job", ref.Job, "task", ref.Index, "run", ref.Run, "endpoint", l.incarnation.Endpoint)
+	}
 	for _, end := range out.Ends {
 		l.queueEnd(end)
 	}
@@ -239,7 +261,7 @@
 	l.metrics.ends[end.Outcome].Inc(1)
 	l.metrics.runTime.RecordDuration(end.Ran)
 	if end.Outcome != runtable.Done {
-		l.p.opts.Log.Info("run ended", "job", end.Job, "task", end.Index, "run", end.Run,
+		l.p.opts.Log.Info("run ended", "job", end.Job, "task", end.Index, "run", end.Run, "endpoint", l.incarnation.Endpoint,
 			"outcome", outcomeNames[end.Outcome], "reason", end.Reason, "ran_ms", end.Ran.Milliseconds())
 	}
 	d := l.byOwner[end.Owner]
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -57,6 +57,8 @@
 	// idleTickInterval is the interval of ticks while nothing runs and only the
 	// minion's reachability is checked.
 	idleTickInterval = 100 * time.Millisecond
+	// stallLogThreshold is the delay of a tick above which it is logged.
+	stallLogThreshold = 100 * time.Millisecond
 	// baseReportInterval times the square of the number of runners that report to a
 	// dispatcher is the minimum time between two reports in which only the free
 	// capacity differs. With more runners, more of them report to each dispatcher,
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -116,6 +116,7 @@
 		return
 	}
 	for ref := range foreign {
+		t.out.Unknown = append(t.out.Unknown, ref)
 		t.out.Stops = append(t.out.Stops, ref)
 	}
 	t.out.ListNow = !t.foreignRunsGone
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -140,6 +140,8 @@
 	Starts []Order
 	Stops  []RunID
 	Ends   []End
+	// Unknown are the runs that a list contains and the table does not.
+	Unknown []RunID
 	// ListNow asks for the minion's lists immediately.
 	ListNow bool
 }
