Wire: one message that cannot be encoded closed the session, again and again

Operators saw machines that stopped following the list after an odd entry of another writer.

Cause: a frame that could not be encoded, as with a string that is not valid UTF-8, ended the session without a log line. The process at the other end opened the next one, got the same message queued and lost that session too, with all other messages in it.

Evidence: TestMessageThatCannotBeEncodedClosedTheSession failed first with "session closed" at the first message.

Why it works: such a message alone is left out, logged and counted (not_encoded); the others of its frame follow in their order. The edge refuses odd texts already, so this is for what it misses.

--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"reflect"
 	"sync"
 	"time"
 
@@ -116,7 +117,7 @@
 		}
 		for first := true; first || len(batch) > 0; first = false {
 			var err error
-			buf, batch, err = appendFrame(buf[:0], batch, l.session.meter)
+			buf, batch, err = l.encodeFrame(buf[:0], batch)
 			if err == nil {
 				_, err = l.conn.Write(buf)
 			}
@@ -127,6 +128,35 @@
 	}
 }
 
+// encodeFrame does what appendFrame does, but leaves out messages that can't be
+// encoded, such as one with a string that is no text. They must not end the session:
+// the next one would get the same message.
+func (l *lane) encodeFrame(buf []byte, batch []outgoing) ([]byte, []outgoing, error) {
+	frame, rest, err := appendFrame(buf, batch, l.session.meter)
+	if !errors.Is(err, errNotEncoded) {
+		return frame, rest, err
+	}
+	return appendFrame(buf, l.encodable(batch), l.session.meter)
+}
+
+// encodable returns the messages of a batch that can be encoded.
+func (l *lane) encodable(batch []outgoing) []outgoing {
+	var kept []outgoing
+	for _, o := range batch {
+		if _, err := proto.Marshal(o.envelope); err != nil {
+			l.session.meter.dropped("not_encoded")
+			l.session.opts.Log.Error(err, "message not sent", "peer", l.session.peer.GetName(), "kind", kindName(reflect.TypeOf(o.envelope.Body)))
+			continue
+		}
+		kept = append(kept, o)
+	}
+	return kept
+}
+
+// errNotEncoded is wrapped by the error of a frame with a message that can't be
+// encoded.
+var errNotEncoded = errors.New("wire: message not encoded")
+
 // appendFrame appends one frame with the first messages of batch to buf and
 // returns buf and the remaining messages.
 func appendFrame(buf []byte, batch []outgoing, m *meter) ([]byte, []outgoing, error) {
@@ -143,7 +173,7 @@
 	}
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, &frame)
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "marshal frame")
+		return nil, nil, eris.Wrap(errors.Join(errNotEncoded, err), "marshal frame")
 	}
 	length := len(buf) - start - lengthBytes
 	if length > MaxFrameBytes {
