The end of a session is told after its last message

Callers saw nothing of this by itself; it kept runs at work that nobody waits for, and delayed jobs by up to 1.8 s.

Cause: OnClosed ran in a goroutine of its own while the read loops still handed over messages that had arrived. At a runner, a later Announce of such a session (sent when the subset changes) created an entry and an owner for a session that had ended for the loop already; tasks in the same buffer were started for that owner, and nothing dropped them, because the end of a session is told once. At a dispatcher, ends in the last report were dropped and their runs counted as unresolved for 1.8 s.

OnClosed now waits for the read loops, and the dispatcher handles the loss of a runner when OnClosed is called. A read loop that has not begun when the session closes does not begin.

Evidence, both failed before: TestNoMessageAfterTheEndOfASession ("the end was told after 0 of 2 messages"), TestLastReportComesBeforeTheLossOfItsRunner ("runnerLost came before the report").

--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -143,9 +143,11 @@
 
 // runSession runs one session until it ends.
 func (l *links) runSession(k *link) {
+	closed := make(chan struct{})
 	opts := wire.Options{
 		Hello:             l.p.opts.hello,
 		Handler:           l.p.onEnvelope,
+		OnClosed:          func(*wire.Session) { close(closed) },
 		ConnectTimeout:    wire.ShortConnectTimeout,
 		HeartbeatInterval: runner.SessionHeartbeatInterval,
 		IdleTimeout:       runner.SessionIdleTimeout,
@@ -161,9 +163,10 @@
 	l.p.enqueue(runnerConnected{s, k})
 	s.Start()
 	select {
-	case <-s.Done():
+	case <-closed:
 	case <-l.ctx.Done():
 		s.Close()
+		<-closed // its last reports are queued now
 	}
 	l.p.enqueue(runnerLost{s})
 	l.markListed(k)
--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -156,6 +156,7 @@
 // readLoop delivers received messages until the session ends.
 func (l *lane) readLoop() {
 	defer l.session.Close()
+	defer l.session.readers.Done()
 	r := bufio.NewReaderSize(&activityReader{session: l.session, r: l.conn}, readBufferBytes[l.id])
 	for {
 		frame, err := readFrame(r)
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -35,6 +35,11 @@
 	calls     callTable
 	closeOnce sync.Once
 	done      chan struct{}
+
+	mu     sync.Mutex
+	closed bool
+	// readers counts the read loops in progress. None begins once closed is set.
+	readers sync.WaitGroup
 }
 
 // Dial connects to the listener of a peer and runs the handshake. Cancelling
@@ -103,6 +108,9 @@
 // none of these before, so that the caller can first store it where its handler
 // looks it up.
 func (s *Session) Start() {
+	if !s.addReaders() {
+		return
+	}
 	for _, l := range s.lanes {
 		go l.writeLoop()
 		go l.readLoop()
@@ -110,6 +118,24 @@
 	go s.watchIdle()
 }
 
+// addReaders counts the read loops that are about to begin. It reports whether
+// the session is still open.
+func (s *Session) addReaders() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.readers.Add(laneCount)
+	}
+	return !s.closed
+}
+
+// endReaders keeps further read loops from beginning.
+func (s *Session) endReaders() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
 // Peer returns the hello message of the peer.
 func (s *Session) Peer() *wirepb.Hello { return s.peer }
 
@@ -159,13 +185,21 @@
 			l.close()
 		}
 		close(s.done)
+		s.endReaders()
 		_ = s.mux.Close()
 		if s.opts.OnClosed != nil {
-			go s.opts.OnClosed(s)
+			go s.tellClosed()
 		}
 	})
 }
 
+// tellClosed calls OnClosed after the last message was handled. Messages that
+// had arrived before the session was closed may still be read then.
+func (s *Session) tellClosed() {
+	s.readers.Wait()
+	s.opts.OnClosed(s)
+}
+
 // deliver passes a received message to the call that waits for it, or to the
 // handler.
 func (s *Session) deliver(e *wirepb.Envelope) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,7 +96,8 @@
 	Hello func() *wirepb.Hello
 	// Handler receives the messages of the peers.
 	Handler Handler
-	// OnClosed is called once when a session has ended. It may be nil.
+	// OnClosed is called once when a session has ended and Handler is not called
+	// for it any more. It may be nil.
 	OnClosed func(s *Session)
 	// TLS secures the sessions unless it is nil.
 	TLS *tls.Config
