Nothing is sent on a session after a message that did not fit its queue

A peer could miss a stop, an order or a report with ends and still get what was sent after it: the queue refused one message that was too large for what was left, and took smaller ones until the session was closed in another goroutine. Who relies on the end of the session to make up for the loss acted on later messages in between.

The lane closes in the same step in which it drops the message. Its writer then ends the session.

Evidence, failed before: TestNothingIsSentAfterADroppedMessage (the message after the dropped one was taken).

--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -57,6 +57,9 @@
 		return ErrClosed
 	}
 	if l.queuedBytes+o.size > maxQueuedBytes {
+		// No later message may be sent, or the peer would miss this one only.
+		l.closed = true
+		l.cond.Signal()
 		go l.session.Close()
 		return ErrQueueFull
 	}
--- a/internal/wire/order_test.go
+++ b/internal/wire/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,3 +46,17 @@
 		assert.Equal(t, <-closed, int32(2))
 	}
 }
+
+// TestNothingIsSentAfterADroppedMessage: after a message that did not fit the
+// queue was dropped, a smaller one was still sent, so the peer had a gap.
+func TestNothingIsSentAfterADroppedMessage(t *testing.T) {
+	s := &Session{meter: newMeter(nil), done: make(chan struct{})}
+	l := newLane(s, LaneTraffic, nil)
+	s.closeOnce.Do(func() {}) // the session closes later
+	spec := strings.Repeat("x", maxQueuedBytes/3)
+	large := &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: &wirepb.PlaceTasks{Spec: spec}}}
+	assert.NilError(t, l.enqueue(large))
+	assert.NilError(t, l.enqueue(large))
+	assert.ErrorIs(t, l.enqueue(large), ErrQueueFull)
+	assert.ErrorIs(t, l.enqueue(jobRequest(1)), ErrClosed)
+}
