A message that a session did not take is logged

Orders, stops, announcements and reports with ends ignored the error of Send. Nothing is lost for good by that: both errors mean that the session ends, the runner stops what it received on it, and the dispatcher counts its runs as unresolved. But no log said that a stop or an end was lost.

--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -185,7 +185,7 @@
 func (l *loop) requestReports(s *session) {
 	announce := l.p.announce()
 	announce.Watches = uint32(l.subsetSize)
-	_ = s.wire.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: announce}})
+	l.send(s, &wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: announce}})
 }
 
 // flush sends the output of the decisions.
@@ -224,7 +224,9 @@
 		StampMs:    stamp,
 	}
 	l.metrics.tasksPlaced.Inc(int64(len(p.Runs)))
-	_ = s.wire.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: message}})
+	if !l.send(s, &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: message}}) {
+		l.p.opts.Log.Info("tasks not sent", "runner", s.link.name, "job", p.Job.ID, "step", p.Step, "tasks", len(p.Runs))
+	}
 }
 
 func taskRuns(refs []runtable.RunID) []*wirepb.TaskRun {
@@ -241,7 +243,20 @@
 		return // the runner stops the tasks of a session that ended
 	}
 	message := &wirepb.StopTasks{Job: stop.Job, Step: uint32(stop.Step), Tasks: taskRuns(stop.Runs)}
-	_ = s.wire.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_StopTasks{StopTasks: message}})
+	if !l.send(s, &wirepb.Envelope{Body: &wirepb.Envelope_StopTasks{StopTasks: message}}) {
+		l.p.opts.Log.Info("stop not sent", "runner", s.link.name, "job", stop.Job)
+	}
+}
+
+// send queues a message to a runner. It reports whether the session accepted it.
+// If not, the session ends: the runner then stops the runs that it received on
+// it, and the event of the loss, which follows, makes all of them unresolved.
+func (l *loop) send(s *session, e *wirepb.Envelope) bool {
+	err := s.wire.Send(wire.LaneTraffic, e)
+	if err != nil {
+		l.p.opts.Log.Info("message to runner not sent", "runner", s.link.name, "error", err.Error())
+	}
+	return err == nil
 }
 
 var resultNames = map[dispatch.Result]string{
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -312,7 +312,12 @@
 	}
 	report := &wirepb.RunnerReport{Ends: d.ends, Room: own}
 	d.ends, d.stale, d.lastReport = nil, false, now
-	_ = d.session.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_RunnerReport{RunnerReport: report}})
+	err := d.session.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_RunnerReport{RunnerReport: report}})
+	if err != nil {
+		// The session ends, and the dispatcher does not take its runs as ended
+		// until it has asked for them on its next session.
+		l.p.opts.Log.Info("report not sent", "dispatcher", d.session.Peer().GetName(), "ends", len(report.Ends), "error", err.Error())
+	}
 }
 
 // roomMessage returns the part of the capacity report that is the same for all
