A dispatcher that connects again ends its earlier session at the runner

What callers could see: a task at work twice, and capacity taken by runs that nobody waits for.

Cause: a dispatcher that lost its session dials again after 30 ms. If the end of the earlier session did not arrive (the runner was cut off or stood still), the runner kept both: the runs of the earlier one went on, with their lease renewed, until that session had been silent for 0.8 to 1.0 s. An announcement that was still in the buffer of a session that had ended brought that one back to life.

The name of a process is unique in a deployment and a dispatcher has one session per runner, so its new session proves that it has given up the earlier one. The runner drops the earlier one at once, stops its runs, and ignores what it still reads from it.

The test fixture's connection moved to a function of its own; no check of it changed.

--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -88,11 +88,15 @@
 	watches uint32
 }
 
-func (e dispatcherAnnounced) handle(l *loop, _ time.Time) {
+func (e dispatcherAnnounced) handle(l *loop, now time.Time) {
+	if l.ended(e.session) {
+		return // sent before the dispatcher gave the session up
+	}
 	if known := l.dispatchers[e.session]; known != nil {
 		known.reportInterval = reportIntervalFor(e.watches)
 		return
 	}
+	l.replaceEarlierSession(now, e.session)
 	l.lastOwner++
 	d := &dispatcher{session: e.session, owner: l.lastOwner, reportInterval: reportIntervalFor(e.watches), stale: true}
 	l.dispatchers[e.session] = d
@@ -100,18 +104,47 @@
 	l.p.opts.Log.Info("dispatcher connected", "dispatcher", e.session.Peer().GetName())
 }
 
+// ended reports whether a session has ended or was replaced. Messages that it
+// had sent before may still arrive.
+func (l *loop) ended(session *wire.Session) bool {
+	select {
+	case <-session.Done():
+		return true
+	default:
+		return l.replaced[session]
+	}
+}
+
+// replaceEarlierSession ends the session that a dispatcher had before the given
+// one. The dispatcher has one session at a time, so it has given the earlier one
+// up, although the end of that session has not arrived here.
+func (l *loop) replaceEarlierSession(now time.Time, session *wire.Session) {
+	for earlier, d := range l.dispatchers {
+		if earlier.Peer().GetName() != session.Peer().GetName() {
+			continue
+		}
+		l.replaced[earlier] = true
+		l.dropDispatcher(now, d, "replaced")
+		go earlier.Close() // closing may block for a while
+	}
+}
+
 // dispatcherDisconnected is the event of a session that has ended. The runs that
 // its dispatcher ordered are stopped, since its callers may retry elsewhere.
 type dispatcherDisconnected struct{ session *wire.Session }
 
 func (e dispatcherDisconnected) handle(l *loop, now time.Time) {
-	d := l.dispatchers[e.session]
-	if d == nil {
-		return
+	delete(l.replaced, e.session)
+	if d := l.dispatchers[e.session]; d != nil {
+		l.dropDispatcher(now, d, "session_ended")
 	}
-	delete(l.dispatchers, e.session)
+}
+
+// dropDispatcher forgets a session and stops the runs that were ordered on it.
+func (l *loop) dropDispatcher(now time.Time, d *dispatcher, reason string) {
+	delete(l.dispatchers, d.session)
 	delete(l.byOwner, d.owner)
-	l.p.opts.Log.Info("dispatcher lost", "dispatcher", e.session.Peer().GetName())
+	l.p.opts.Log.Info("dispatcher lost", "dispatcher", d.session.Peer().GetName(), "reason", reason)
 	l.table.DropOwner(now, d.owner)
 }
 
@@ -123,8 +156,8 @@
 
 func (e placeTasksReceived) handle(l *loop, now time.Time) {
 	d := l.dispatchers[e.session]
-	if d == nil {
-		return // the session has ended, so nobody waits for the tasks
+	if d == nil || l.ended(e.session) {
+		return // nobody waits for the tasks
 	}
 	age := boottime.Now() - time.Duration(e.place.StampMs)*time.Millisecond
 	for _, t := range e.place.Tasks {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -25,7 +25,10 @@
 
 	dispatchers map[*wire.Session]*dispatcher
 	byOwner     map[runtable.Owner]*dispatcher
-	lastOwner   runtable.Owner
+	// replaced holds the sessions that a later session of the same dispatcher has
+	// replaced, until their ends are handled.
+	replaced  map[*wire.Session]bool
+	lastOwner runtable.Owner
 
 	// longPolls counts the polls in progress that wait for ends.
 	longPolls int
@@ -117,6 +120,7 @@
 		fence:       uint64(time.Now().UnixMilli()),
 		dispatchers: map[*wire.Session]*dispatcher{},
 		byOwner:     map[runtable.Owner]*dispatcher{},
+		replaced:    map[*wire.Session]bool{},
 		metrics: loopMetrics{
 			starts:      scope.Counter("starts"),
 			unanswered:  scope.Counter("calls_unanswered"),
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -81,7 +81,16 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { b.runner.Stop(context.Background()) })
 	b.reportMinion(1)
-	b.session, err = wire.Dial(t.Context(), b.runner.listener.Address(), wire.Options{
+	b.connect()
+	return b
+}
+
+// connect opens a session of the dispatcher and waits until its minion is ready.
+// The fixture uses this session from then on. An earlier one stays open.
+func (b *fixture) connect() {
+	b.t.Helper()
+	var err error
+	b.session, err = wire.Dial(b.t.Context(), b.runner.listener.Address(), wire.Options{
 		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "dispatcher", Name: "d", Cluster: "c"} },
 		Handler: func(_ *wire.Session, e *wirepb.Envelope) {
 			if r := e.GetRunnerReport(); r != nil {
@@ -90,12 +99,11 @@
 		},
 		HeartbeatInterval: SessionHeartbeatInterval, Log: logr.Discard(),
 	})
-	assert.NilError(t, err)
+	assert.NilError(b.t, err)
 	b.session.Start()
-	t.Cleanup(b.session.Close)
+	b.t.Cleanup(b.session.Close)
 	b.send(&wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: &wirepb.Announce{Role: "dispatcher", Name: "d", Watches: 1}}})
 	b.waitForReport(func(r *wirepb.RunnerReport) bool { return r.Room.Ready })
-	return b
 }
 
 // reportMinion sends a report of the minion to the runner.
