A task is refused as running here only once its earlier run has ended

What callers saw: a task at work twice, for up to the time of a stop (50 ms and more while calls to the minion are late).

Cause: a runner that got an order for a task of which another run was at work (an earlier submission of the job, another dispatcher, an earlier session) stopped that run and refused the order in the same moment ("task_runs_here"). "Not run" lets the dispatcher place the task at any other minion at once, while the earlier run was still being stopped.

The refusal is now reported together with the end of the earlier run.

TestSameTaskOfAnotherDispatcher asserted the refusal in the same step as the stop, against its own comment ("the earlier run must end before the task can start again"); it now asserts that no refusal comes before the end and that both come with it.

--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -41,6 +41,9 @@
 	// ownerGone is set when the dispatcher is gone, so that no end is reported.
 	ownerGone  bool
 	stopReason string // reason of the stop
+	// atEnd are reports on other runs of the task that are due once this run has
+	// ended, because their dispatchers may then place the task anywhere.
+	atEnd []End
 }
 
 // Table holds the runs at one minion. It is not safe for concurrent use.
@@ -176,19 +179,24 @@
 }
 
 // placeExisting handles an order for a task that is already in the table. A run
-// of another owner or number is stopped. The new order is refused and may be
-// repeated once that run has ended.
+// of another owner or number is stopped. The new order is refused once that run
+// has ended, because its dispatcher may then place the task anywhere.
 func (t *Table) placeExisting(now time.Time, r *run, o Order) {
 	if r.Owner == o.Owner && r.Run == o.Run {
 		return
 	}
+	r.atEnd = append(r.atEnd, refusal(o, ReasonDuplicate))
 	t.stop(now, r, ReasonStopped)
-	t.Refuse(o, ReasonDuplicate)
 }
 
 // Refuse reports an order as not run.
 func (t *Table) Refuse(o Order, reason string) {
-	t.out.Ends = append(t.out.Ends, End{TaskID: o.TaskID, Run: o.Run, Owner: o.Owner, Outcome: NotRun, Reason: reason})
+	t.out.Ends = append(t.out.Ends, refusal(o, reason))
+}
+
+// refusal returns the end of an order that was not run.
+func refusal(o Order, reason string) End {
+	return End{TaskID: o.TaskID, Run: o.Run, Owner: o.Owner, Outcome: NotRun, Reason: reason}
 }
 
 // Stop ends a run of an owner. The number 0 stands for any run of the task.
@@ -274,6 +282,7 @@
 		}
 		t.out.Ends = append(t.out.Ends, end)
 	}
+	t.out.Ends = append(t.out.Ends, r.atEnd...)
 	t.startWaiting(now)
 }
 
--- a/internal/runtable/table_test.go
+++ b/internal/runtable/table_test.go
@@ -213,7 +213,14 @@
 	tab.Place(at(2), again)
 	out := tab.TakeOutput()
 	assert.DeepEqual(t, out.Stops, []RunID{ref(o)})
-	assert.Equal(t, out.Ends[0].Reason, ReasonDuplicate)
+	assert.Equal(t, len(out.Ends), 0)
+	assert.Equal(t, len(out.Starts), 0)
+	tab.StopAnswered(at(3), ref(o))
+	tab.ApplyListing(at(6), Listing{SentAt: at(5)})
+	out = tab.TakeOutput()
+	assert.Equal(t, len(out.Ends), 2)
+	assert.Equal(t, out.Ends[0].Reason, ReasonStopped)
+	assert.Equal(t, out.Ends[1].Reason, ReasonDuplicate)
 	assert.Equal(t, len(out.Starts), 0)
 }
 
