--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -25,7 +25,10 @@
 
 	dispatchers map[*wire.Session]*dispatcher
 	byOwner     map[runtable.Owner]*dispatcher
-	lastOwner   runtable.Owner
+	// replaced holds the sessions that a later session of the same dispatcher has
+	// replaced, until their ends are handled.
+	replaced  map[*wire.Session]bool
+	lastOwner runtable.Owner
 
 	// longPolls counts the polls in progress that wait for ends.
 	longPolls int
@@ -117,6 +120,7 @@
 		fence:       uint64(time.Now().UnixMilli()),
 		dispatchers: map[*wire.Session]*dispatcher{},
 		byOwner:     map[runtable.Owner]*dispatcher{},
+		replaced:    map[*wire.Session]bool{},
 		metrics: loopMetrics{
 			starts:      scope.Counter("starts"),
 			unanswered:  scope.Counter("calls_unanswered"),
@@ -312,7 +316,12 @@
 	}
 	report := &wirepb.RunnerReport{Ends: d.ends, Room: own}
 	d.ends, d.stale, d.lastReport = nil, false, now
-	_ = d.session.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_RunnerReport{RunnerReport: report}})
+	err := d.session.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_RunnerReport{RunnerReport: report}})
+	if err != nil {
+		// The session ends, and the dispatcher does not take its runs as ended
+		// until it has asked for them on its next session.
+		l.p.opts.Log.Info("report not sent", "dispatcher", d.session.Peer().GetName(), "ends", len(report.Ends), "error", err.Error())
+	}
 }
 
 // roomMessage returns the part of the capacity report that is the same for all
--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -58,6 +58,9 @@
 		return ErrClosed
 	}
 	if l.queuedBytes+o.size > maxQueuedBytes {
+		// No later message may be sent, or the peer would miss this one only.
+		l.closed = true
+		l.cond.Signal()
 		go l.session.Close()
 		return ErrQueueFull
 	}
@@ -186,6 +189,7 @@
 // readLoop delivers received messages until the session ends.
 func (l *lane) readLoop() {
 	defer l.session.Close()
+	defer l.session.readers.Done()
 	r := bufio.NewReaderSize(&activityReader{session: l.session, r: l.conn}, readBufferBytes[l.id])
 	for {
 		frame, err := readFrame(r)
