Runner: a run that starts in freed capacity is not ended with the runs that freed it (TWICE)

The runner reported run 2 as stopped (minion_ended, ran_ms 0) while its start went to the new minion; the dispatcher placed the next run elsewhere.

Cause: each end freed capacity and started a waiting run at once. MinionRestarted and LeaseExpired went on over their list of runs and ended that run too. The output held a start and an end of one run, and the table had forgotten it. A start that was due to be sent again stayed in the output when its run ended.

Now runs start in TakeOutput only, after all inputs of the batch. Starts and stops are taken from the runs that are still in the table, so an output can't hold a start and an end of the same run. A run that was not sent yet when its minion ends counts as not run. After the end of a lease nothing starts until a list that was requested afterwards shows what is at work.

Evidence: the four tests of ends_test.go fail on the code before (each with a start beside the end); they pass now.

--- /dev/null
+++ b/internal/runtable/ends_test.go
@@ -0,0 +1,81 @@
+package runtable
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fullTable returns a table whose minion is full with one run, and a second
+// order that waits.
+func fullTable(t *testing.T) (tab *Table, active, waits Order) {
+	t.Helper()
+	tab = table(t)
+	active, waits = order("a", 0, 10_000), order("b", 0, 10_000)
+	started(t, tab, at(1), active)
+	tab.Place(at(2), waits)
+	assert.Equal(t, len(tab.TakeOutput().Starts), 0)
+	return tab, active, waits
+}
+
+// TestNoRunStartsWhileTheLeaseEndsRuns: a waiting run that starts in the freed
+// capacity is not ended with the runs whose lease is over, and does not start
+// before a list shows what is at work.
+func TestNoRunStartsWhileTheLeaseEndsRuns(t *testing.T) {
+	tab, active, waits := fullTable(t)
+	tab.LeaseExpired(at(1200))
+	out := tab.TakeOutput()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Ends), 1)
+	assert.Equal(t, out.Ends[0].TaskID, active.TaskID)
+	assert.Assert(t, out.ListNow)
+	tab.ApplyListing(at(1202), Listing{SentAt: at(1199)}) // asked before the lease was over
+	assert.Equal(t, len(tab.TakeOutput().Starts), 0)
+	tab.ApplyListing(at(1203), Listing{SentAt: at(1201)})
+	out = tab.TakeOutput()
+	assert.DeepEqual(t, out.Starts, []Order{waits})
+	assert.Equal(t, tab.Running(), 1)
+}
+
+// TestNoRunStartsWhileAMinionRestartEndsRuns: a waiting run is neither sent to
+// the new incarnation nor reported as stopped.
+func TestNoRunStartsWhileAMinionRestartEndsRuns(t *testing.T) {
+	tab, active, waits := fullTable(t)
+	tab.MinionRestarted(at(10))
+	out := tab.TakeOutput()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Ends), 2)
+	assert.Equal(t, out.Ends[0].TaskID, active.TaskID)
+	assert.Equal(t, out.Ends[0].Outcome, Stopped)
+	assert.Equal(t, out.Ends[1].TaskID, waits.TaskID)
+	assert.Equal(t, out.Ends[1].Outcome, NotRun)
+	assert.Equal(t, tab.Free(), Need{CPU: 10_000})
+}
+
+// TestNoStartIsSentAgainForAnEndedRun: a start that is due to be sent again is
+// dropped with its run, and so is a stop.
+func TestNoStartIsSentAgainForAnEndedRun(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	tab.Place(at(1), o)
+	assert.Equal(t, len(tab.TakeOutput().Starts), 1)
+	tab.StartAnswered(at(30), ref(o), Unanswered)
+	tab.Stop(at(31), o.Owner, o.TaskID, o.Run)
+	tab.MinionRestarted(at(32))
+	out := tab.TakeOutput()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Stops), 0)
+	assert.Equal(t, len(out.Ends), 1)
+}
+
+// TestWaitingRunOfAMinionThatRestartsAtOnce: an order that came in just before a
+// restart was never sent, so it counts as not run.
+func TestWaitingRunOfAMinionThatRestartsAtOnce(t *testing.T) {
+	tab := table(t)
+	tab.Place(at(1), order("a", 0, 1000))
+	tab.MinionRestarted(at(1))
+	out := tab.TakeOutput()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Ends), 1)
+	assert.Equal(t, out.Ends[0].Outcome, NotRun)
+}
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -57,7 +57,7 @@
 	}
 	if r.startAttempts < maxStartAttempts {
 		r.startAttempts++
-		t.out.Starts = append(t.out.Starts, r.Order)
+		t.startsDue = append(t.startsDue, r)
 		return
 	}
 	t.health.recordFailure()
@@ -104,22 +104,23 @@
 			t.checkAgainstList(now, r, l.SentAt, percent, active)
 		}
 	}
-	t.stopForeignRuns(listed)
-	t.startWaiting(now)
+	t.stopForeignRuns(l.SentAt, listed)
+	t.lastChange = now
 }
 
 // stopForeignRuns stops runs that are not in the table: those of an earlier
 // incarnation of this process. No new task starts before they have ended.
-func (t *Table) stopForeignRuns(foreign map[RunID]int) {
+func (t *Table) stopForeignRuns(asked time.Time, foreign map[RunID]int) {
 	if len(foreign) == 0 {
-		t.foreignRunsGone = true
+		t.foreignRunsGone = t.foreignRunsGone || !asked.Before(t.unknownSince)
+		t.out.ListNow = t.out.ListNow || !t.foreignRunsGone
 		return
 	}
 	for ref := range foreign {
 		t.out.Unknown = append(t.out.Unknown, ref)
 		t.out.Stops = append(t.out.Stops, ref)
 	}
-	t.out.ListNow = !t.foreignRunsGone
+	t.out.ListNow = t.out.ListNow || !t.foreignRunsGone
 }
 
 func (t *Table) applyEnd(now time.Time, row EndedRow) {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -54,23 +54,52 @@
 	queue []*run
 	// acked is the highest number of an end that was applied.
 	acked uint64
-	// foreignRunsGone is set once a list of the minion's present incarnation
-	// contained no foreign runs.
+	// foreignRunsGone is set once a list that was requested after unknownSince
+	// contained no foreign runs. Nothing starts before.
 	foreignRunsGone bool
-	health          health
-	out             Output
+	// unknownSince is when the minion last began anew or its lease ended, so that
+	// only a new list shows what runs there.
+	unknownSince time.Time
+	// startsDue and stopsDue are the runs whose start or stop is to be sent. A run
+	// that ends before TakeOutput drops out.
+	startsDue, stopsDue []*run
+	// lastChange is when a waiting run last may have become able to start. It is
+	// zero when nothing has changed since the last output.
+	lastChange time.Time
+	health     health
+	out        Output
 }
 
 // New returns the table of a runner whose minion is not known yet.
 func New() *Table { return &Table{runs: map[TaskID]*run{}} }
 
-// TakeOutput returns the output and clears it.
+// TakeOutput starts the waiting runs that fit, then returns the output and clears
+// it. Runs start nowhere else, so an input that ends several runs never ends one
+// that it has started.
 func (t *Table) TakeOutput() Output {
+	if !t.lastChange.IsZero() {
+		t.startWaiting(t.lastChange)
+		t.lastChange = time.Time{}
+	}
+	for _, r := range t.startsDue {
+		if t.holds(r) && r.state == starting {
+			t.out.Starts = append(t.out.Starts, r.Order)
+		}
+	}
+	for _, r := range t.stopsDue {
+		if t.holds(r) {
+			t.out.Stops = append(t.out.Stops, RunID{r.TaskID, r.Run})
+		}
+	}
+	t.startsDue, t.stopsDue = nil, nil
 	out := t.out
 	t.out = Output{}
 	return out
 }
 
+// holds reports whether a run has not ended.
+func (t *Table) holds(r *run) bool { return t.runs[r.TaskID] == r }
+
 // MinionRestarted handles the start of another incarnation of the minion. All runs at
 // the earlier one have ended.
 func (t *Table) MinionRestarted(now time.Time) {
@@ -83,19 +112,28 @@
 		t.finish(now, r, Stopped, ReasonMinionGone)
 	}
 	t.acked = 0
-	t.foreignRunsGone = false
 	t.health = health{}
+	t.out.Stops = nil // they are meant for the earlier incarnation
+	t.requireList(now)
+}
+
+// requireList lets nothing start until a list that is requested from now on shows
+// what runs at the minion.
+func (t *Table) requireList(now time.Time) {
+	t.foreignRunsGone = false
+	t.unknownSince = now
 	t.out.ListNow = true
 }
 
 // LeaseExpired handles the end of the lease of all runs at the minion: every run that
-// was sent to it has ended.
+// was sent to it has ended. Waiting runs wait for a list.
 func (t *Table) LeaseExpired(now time.Time) {
 	for _, r := range t.sortedRuns() {
 		if r.state != waiting {
 			t.finish(now, r, Stopped, ReasonLeaseExpired)
 		}
 	}
+	t.requireList(now)
 }
 
 // UpdateMinion sets the capacity of the minion, and whether it accepts new work.
@@ -106,7 +144,7 @@
 		t.refuseWaiting(now)
 		return
 	}
-	t.startWaiting(now)
+	t.lastChange = now
 }
 
 // Ready reports whether new tasks are accepted.
@@ -172,7 +210,7 @@
 		return 1
 	})
 	t.queue = slices.Insert(t.queue, at, r)
-	t.startWaiting(now)
+	t.lastChange = now
 }
 
 // placeExisting handles an order for a task that is already in the table. A run
@@ -233,7 +271,7 @@
 
 func (t *Table) sendStop(now time.Time, r *run) {
 	r.stopSentAt = now
-	t.out.Stops = append(t.out.Stops, RunID{r.TaskID, r.Run})
+	t.stopsDue = append(t.stopsDue, r)
 }
 
 // startWaiting starts waiting runs in their order while they fit. A run that
@@ -249,7 +287,7 @@
 		r.state = starting
 		r.startSentAt = now
 		r.startAttempts = 1
-		t.out.Starts = append(t.out.Starts, r.Order)
+		t.startsDue = append(t.startsDue, r)
 	}
 }
 
@@ -259,7 +297,7 @@
 	t.queued = t.queued.Minus(r.Need)
 }
 
-// finish ends a run and frees its capacity.
+// finish ends a run and frees its capacity. Waiting runs take it at TakeOutput.
 func (t *Table) finish(now time.Time, r *run, outcome Outcome, reason string) {
 	delete(t.runs, r.TaskID)
 	if r.state == waiting {
@@ -274,7 +312,7 @@
 		}
 		t.out.Ends = append(t.out.Ends, end)
 	}
-	t.startWaiting(now)
+	t.lastChange = now
 }
 
 func (t *Table) refuseWaiting(now time.Time) {
