Runner: a report only proposes an incarnation, the minion confirms it

What callers saw: tasks ran twice at once. Cause: a report under another name, or under the same name with another start time, began a new incarnation at once. All runs were reported as stopped ("minion_ended") while the true minion went on with them, the dispatcher placed them elsewhere, and all calls went to a minion that isn't there until the true one reported itself again.

Reports, records of control members and lists with another start time now take the same way: the runner asks the minion by a poll that is addressed to the proposed name, and the incarnation takes the present one's place only if the answer has the proposed start time. 421 or another start time drops the proposal, no answer has it asked again after 50 ms, 20 times. The minion is asked about one incarnation at a time. Until then the present one holds with its runs, lease and polls. Whether the start time is smaller or larger no longer matters, so that clocks that were set back do no harm. A start that is seen in a list only takes no work until its own report, since it may be of another kind.

Tests: the fake minion answers only calls that are addressed to it, names its start and has a clock, as minions do. TestRecordOfAnotherIncarnationIsNotUsed used the functions that are gone; its cases are now played against the fake minion, in four tests. TestLateReportOfIncarnationThatLeft also sends the last report again.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -32,7 +32,7 @@
 // keepPolling keeps one long poll in progress, which waits for ends and renews the
 // lease. It keeps two for redundantPollDuration after an unanswered call.
 func (l *loop) keepPolling(now time.Time) {
-	if !l.incarnation.active {
+	if !l.incarnation.known() {
 		return
 	}
 	wanted := 1
@@ -51,7 +51,7 @@
 
 // pollNow sends a poll that does not wait, unless such a poll is in progress.
 func (l *loop) pollNow(now time.Time) {
-	if l.immediatePollActive || !l.incarnation.active {
+	if l.immediatePollActive || !l.incarnation.known() {
 		return
 	}
 	l.immediatePollActive = true
@@ -185,19 +185,21 @@
 		l.lastPollError = callStatusNames[a.lists.Status]
 		return
 	}
-	if a.lists.StartedUnixMs > l.incarnation.StartedUnixMs && l.incarnation.StartedUnixMs != 0 {
-		l.handleRestart(now, a.lists.StartedUnixMs)
+	if a.lists.StartedUnixMs != l.incarnation.StartedUnixMs {
+		l.proposeRestart(a.lists.StartedUnixMs)
 		return
 	}
 	l.lease.recordClock(now, a.lists.Clock)
 	l.table.ApplyListing(now, runtable.Listing{SentAt: a.sentAt, Running: a.lists.Running, Ended: a.lists.Ended})
 }
 
-// handleRestart handles a minion that has restarted under the same endpoint.
-func (l *loop) handleRestart(now time.Time, born int64) {
-	l.p.opts.Log.Info("minion restarted", "endpoint", l.incarnation.Endpoint, "born", born, "runs", l.table.Running())
-	l.incarnation.StartedUnixMs = born
-	l.incarnation.Sequence = 0
-	l.lease.reset()
-	l.table.MinionRestarted(now)
+// proposeRestart handles a list of another start of the minion under the same name.
+// What that start can run is not known before its report: it takes no work until
+// then.
+func (l *loop) proposeRestart(startedUnixMs int64) {
+	later := l.incarnation.Report
+	later.StartedUnixMs, later.Sequence, later.Draining = startedUnixMs, 0, true
+	if l.candidate(later.id()) == nil {
+		l.propose(&later)
+	}
 }
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -18,49 +18,31 @@
 
 func (r reportReceived) handle(l *loop, now time.Time) {
 	defer close(r.done)
-	report := &r.report
-	sameIncarnation := report.Endpoint == l.incarnation.Endpoint && report.StartedUnixMs == l.incarnation.StartedUnixMs
-	switch {
-	case sameIncarnation && report.Sequence <= l.incarnation.Sequence && !l.incarnation.active:
-		l.p.opts.Log.Info("report of an incarnation that left", "endpoint", report.Endpoint, "sequence", report.Sequence)
-	case sameIncarnation && l.incarnation.active:
-		l.updateIncarnation(now, report)
-	case l.incarnation.active && report.StartedUnixMs < l.incarnation.StartedUnixMs:
-		l.p.opts.Log.Info("report of an earlier incarnation", "endpoint", report.Endpoint, "born", report.StartedUnixMs, "present", l.incarnation.StartedUnixMs)
-	default:
-		l.beginIncarnation(now, *report)
+	if l.incarnation.number != 0 && r.report.id() == l.incarnation.id() {
+		l.updateIncarnation(now, &r.report)
+		return
 	}
+	l.propose(&r.report)
 }
 
 // updateIncarnation applies a later report of the present incarnation.
 func (l *loop) updateIncarnation(now time.Time, r *Report) {
-	if r.Sequence < l.incarnation.Sequence {
-		return // a later report arrived first
+	if r.Sequence < l.incarnation.Sequence || l.incarnation.left && r.Sequence == l.incarnation.Sequence {
+		l.p.opts.Log.Info("late report", "endpoint", r.Endpoint, "sequence", r.Sequence, "present", l.incarnation.Sequence,
+			"left", l.incarnation.left)
+		return
 	}
-	if r.Draining != l.incarnation.Draining || r.Capacity != l.incarnation.Capacity {
+	if r.Draining != l.incarnation.Draining || r.Capacity != l.incarnation.Capacity || l.incarnation.left {
 		l.p.opts.Log.Info("minion changed", "endpoint", r.Endpoint, "draining", r.Draining,
-			"cpu", r.Capacity.CPU, "running", l.table.Running())
+			"cpu", r.Capacity.CPU, "left", l.incarnation.left, "running", l.table.Running())
 	}
 	l.incarnation.Report = *r
+	l.incarnation.left = false
 	l.p.announceIfChanged(r)
 	l.updateReadiness(now)
 	l.markStale()
 }
 
-// beginIncarnation applies the first report of a new incarnation of the minion.
-func (l *loop) beginIncarnation(now time.Time, r Report) {
-	l.p.opts.Log.Info("minion began", "endpoint", r.Endpoint, "born", r.StartedUnixMs, "service", r.Service,
-		"cpu", r.Capacity.CPU, "labels", r.Labels, "draining", r.Draining,
-		"before", l.incarnation.Endpoint, "before_born", l.incarnation.StartedUnixMs, "runs", l.table.Running())
-	l.incarnation = incarnation{Report: r, active: true}
-	l.lease.reset()
-	l.lease.recordClock(now, r.Clock)
-	l.table.MinionRestarted(now)
-	l.p.announceIfChanged(&r)
-	l.updateReadiness(now)
-	l.markStale()
-}
-
 func (l *loop) markStale() {
 	for _, d := range l.dispatchers {
 		d.stale = true
@@ -75,7 +57,7 @@
 		return
 	}
 	l.p.opts.Log.Info("minion left", "endpoint", e.endpoint, "running", l.table.Running())
-	l.incarnation.active = false
+	l.incarnation.left = true
 	l.table.MinionRestarted(now)
 	l.updateReadiness(now)
 	l.markStale()
@@ -205,7 +187,7 @@
 
 func (e dumpRequested) handle(l *loop, _ time.Time) {
 	d := Dump{
-		Endpoint: l.incarnation.Endpoint, Known: l.incarnation.active, Ready: l.table.Ready(), Draining: l.incarnation.Draining,
+		Endpoint: l.incarnation.Endpoint, Known: l.incarnation.known(), Ready: l.table.Ready(), Draining: l.incarnation.Draining,
 		Capacity: l.table.Capacity(), Free: l.table.Free(), Running: l.table.Running(), Open: l.table.OpenRuns(),
 		Suspicion: l.table.FailureRate(), Pace: l.table.RuntimeRatio(),
 	}
--- /dev/null
+++ b/internal/runner/incarnation_test.go
@@ -0,0 +1,143 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+)
+
+// placeRunning orders a task and waits until it runs.
+func (b *fixture) placeRunning(job string) {
+	b.t.Helper()
+	b.placeTask(job, 0)
+	b.waitForMinion(func(running, _ int) bool { return running == 1 })
+}
+
+// noEndFor fails if an end is reported within a time.
+func (b *fixture) noEndFor(duration time.Duration) {
+	b.t.Helper()
+	timeout := time.After(duration)
+	for {
+		select {
+		case r := <-b.reports:
+			assert.Equal(b.t, len(r.Ends), 0, "%v", r.Ends)
+		case <-timeout:
+			return
+		}
+	}
+}
+
+func (b *fixture) waitForEnd(outcome wirepb.RunOutcome) {
+	b.t.Helper()
+	b.waitForReport(func(r *wirepb.RunnerReport) bool {
+		if len(r.Ends) == 0 {
+			return false
+		}
+		assert.Equal(b.t, r.Ends[0].Outcome, outcome, r.Ends[0].Reason)
+		return true
+	})
+}
+
+func (b *fixture) dump() Dump { return b.runner.Dump().(Dump) }
+
+// TestReportThatTheMinionDeniesEndsNoRuns guards against runs that count as ended on the word of a report.
+func TestReportThatTheMinionDeniesEndsNoRuns(t *testing.T) {
+	cases := []struct {
+		name   string
+		report Report
+	}{
+		{"another name", reportOfMinion("i-odd", 10, 1)},
+		{"a later start", reportOfMinion("i-1", 11, 1)},
+		{"an earlier start", reportOfMinion("i-1", 9, 99)},
+		{"no start time", reportOfMinion("i-1", 0, 99)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := startFixture(t)
+			b.placeRunning("a")
+			b.runner.Report(t.Context(), c.report)
+			b.noEndFor(100 * time.Millisecond)
+			d := b.dump()
+			assert.Equal(t, d.Endpoint, "i-1")
+			assert.Assert(t, d.Known && d.Ready)
+			assert.Equal(t, d.Running, 1)
+		})
+	}
+}
+
+// TestReportWithoutAnswerEndsNoRuns guards against a successor that is assumed while the minion is silent.
+func TestReportWithoutAnswerEndsNoRuns(t *testing.T) {
+	b := startFixture(t)
+	b.placeRunning("a")
+	b.minion.update(func(m *fakeMinion) { m.silent = true })
+	b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 1))
+	b.noEndFor(200 * time.Millisecond)
+	b.minion.update(func(m *fakeMinion) { m.silent = false })
+	b.noEndFor(200 * time.Millisecond)
+	assert.Equal(t, b.dump().Running, 1)
+}
+
+// TestSuccessorThatAnswersLateTakesOver guards against a confirmation that is given up after a lost answer.
+func TestSuccessorThatAnswersLateTakesOver(t *testing.T) {
+	b := startFixture(t)
+	b.minion.restart("i-2", 20)
+	b.minion.update(func(m *fakeMinion) { m.silent = true })
+	b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 1))
+	time.Sleep(100 * time.Millisecond)
+	b.minion.update(func(m *fakeMinion) { m.silent = false })
+	waitForDump(t, b.runner, func(d Dump) bool { return d.Endpoint == "i-2" && d.Ready })
+}
+
+// TestSuccessorTakesOverWhateverItsStartTime guards against clocks that were set back.
+func TestSuccessorTakesOverWhateverItsStartTime(t *testing.T) {
+	for _, born := range []int64{5, 20} {
+		b := startFixture(t)
+		b.minion.restart("i-1", born)
+		b.runner.Report(t.Context(), reportOfMinion("i-1", born, 1))
+		b.waitForReport(func(r *wirepb.RunnerReport) bool { return !r.Room.Ready })
+		waitForDump(t, b.runner, func(d Dump) bool { return d.Ready })
+		assert.Equal(t, b.runner.announce().Minion.StartedUnixMs, born)
+	}
+}
+
+// TestTwoSuccessorsInTurn guards against a bogus successor that hides the true one.
+func TestTwoSuccessorsInTurn(t *testing.T) {
+	b := startFixture(t)
+	b.minion.restart("i-3", 30)
+	for range 20 {
+		b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 1))
+	}
+	b.runner.Report(t.Context(), reportOfMinion("i-3", 30, 1))
+	b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 2))
+	waitForDump(t, b.runner, func(d Dump) bool { return d.Endpoint == "i-3" && d.Ready })
+}
+
+// TestNewestReportOfASuccessorCounts guards against a drain that is missed while the minion is asked.
+func TestNewestReportOfASuccessorCounts(t *testing.T) {
+	b := startFixture(t)
+	b.minion.restart("i-2", 20)
+	b.minion.update(func(m *fakeMinion) { m.silent = true })
+	b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 1))
+	draining := reportOfMinion("i-2", 20, 3)
+	draining.Draining = true
+	b.runner.Report(t.Context(), draining)
+	b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 2))
+	b.minion.update(func(m *fakeMinion) { m.silent = false })
+	waitForDump(t, b.runner, func(d Dump) bool { return d.Endpoint == "i-2" })
+	assert.Assert(t, b.dump().Draining)
+}
+
+// TestRestartSeenInAList guards against work at a start that has not said what it can run.
+func TestRestartSeenInAList(t *testing.T) {
+	b := startFixture(t)
+	b.placeRunning("a")
+	b.minion.restart("i-1", 5)
+	b.waitForEnd(wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
+	assert.Assert(t, !b.dump().Ready)
+	b.runner.Report(context.Background(), reportOfMinion("i-1", 5, 1))
+	waitForDump(t, b.runner, func(d Dump) bool { return d.Ready })
+}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -37,9 +37,10 @@
 	// responsive reports whether the minion was reachable at the last update of the
 	// readiness.
 	responsive bool
-	// recordAsked is the record that the minion is being asked about; nil if there
-	// is none.
-	recordAsked *wirepb.MinionRecord
+	// candidates are the incarnations that the minion is to be asked about, in this
+	// order. asking reports whether it is being asked about the first.
+	candidates []*candidate
+	asking     bool
 	// lastPollError is the reason of the last failed poll.
 	lastPollError string
 	// lastUnanswered is when a call to the minion last ended without a reply.
@@ -70,14 +71,6 @@
 	readinessOrCapacityChanged
 )
 
-// incarnation is the present incarnation of the minion. The zero value stands for
-// none.
-type incarnation struct {
-	Report
-	// active is false before the first report and once the incarnation has left.
-	active bool
-}
-
 // dispatcher is a session with a dispatcher.
 type dispatcher struct {
 	session *wire.Session
@@ -210,7 +203,7 @@
 		l.p.opts.Log.Info("minion reachable", "endpoint", l.incarnation.Endpoint, "reachable", responsive,
 			"silent_ms", now.Sub(l.lease.recordedAt).Milliseconds(), "last_error", l.lastPollError)
 	}
-	ready := l.incarnation.active && !l.incarnation.Draining && !l.stopping && l.lease.reachable(now)
+	ready := l.incarnation.known() && !l.incarnation.Draining && !l.stopping && l.lease.reachable(now)
 	l.table.UpdateMinion(now, l.incarnation.Capacity, ready)
 }
 
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -18,38 +20,99 @@
 // hangTimeout bounds waits that would otherwise block the test run.
 const hangTimeout = 60 * time.Second
 
-// fakeMinion executes every call and runs tasks until they are stopped.
+// fakeMinion executes every call that is addressed to it and runs tasks until they
+// are stopped. Its clock shows the time since its start.
 type fakeMinion struct {
 	mu      sync.Mutex
 	running map[runtable.RunID]bool
 	ended   []runtable.EndedRow
 	starts  int
-	// startedUnixMs is the start of the incarnation that lists are from.
+	polls   int
+	stops   int
+	fence   uint64
+	// endpoint and startedUnixMs name the present incarnation.
+	endpoint      string
 	startedUnixMs int64
+	clockZero     time.Time
+	// silent makes the minion answer no call.
+	silent bool
+}
+
+func newFakeMinion(endpoint string, startedUnixMs int64) *fakeMinion {
+	return &fakeMinion{
+		running: map[runtable.RunID]bool{}, endpoint: endpoint, startedUnixMs: startedUnixMs, clockZero: time.Now(),
+	}
+}
+
+// update changes how the minion behaves.
+func (m *fakeMinion) update(change func(m *fakeMinion)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(m)
+}
+
+// restart makes the minion another incarnation, at which nothing runs.
+func (m *fakeMinion) restart(endpoint string, startedUnixMs int64) {
+	m.update(func(m *fakeMinion) {
+		m.endpoint, m.startedUnixMs, m.clockZero = endpoint, startedUnixMs, time.Now()
+		m.running, m.ended, m.fence = map[runtable.RunID]bool{}, nil, 0
+	})
+}
+
+var errNoReply = errors.New("no reply")
+
+// receive decides whether a call is carried out. The caller holds the lock.
+func (m *fakeMinion) receive(endpoint string, fence uint64) (Answer, error) {
+	if m.silent {
+		return Answer{}, errNoReply
+	}
+	if endpoint != m.endpoint {
+		return Answer{Status: OtherIncarnation}, nil
+	}
+	answer := Answer{Status: Accepted, Clock: 1 + time.Since(m.clockZero).Milliseconds()}
+	if fence < m.fence {
+		answer.Status = Fenced
+	}
+	m.fence = max(m.fence, fence)
+	return answer, nil
 }
 
 func (m *fakeMinion) Start(_ context.Context, c StartCall) (Answer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.running[c.RunID] = true
-	m.starts++
-	return Answer{Status: Accepted, Clock: 1}, nil
+	answer, err := m.receive(c.Endpoint, c.Fence)
+	if err == nil && answer.Status == Accepted {
+		m.running[c.RunID] = true
+		m.starts++
+	}
+	return answer, err
 }
 
 func (m *fakeMinion) Stop(_ context.Context, c StopCall) (Answer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.running[c.RunID] {
+	m.stops++
+	answer, err := m.receive(c.Endpoint, c.Fence)
+	if err == nil && answer.Status == Accepted && m.running[c.RunID] {
 		delete(m.running, c.RunID)
-		m.ended = append(m.ended, runtable.EndedRow{RunID: c.RunID, Number: uint64(len(m.ended) + 1), Outcome: runtable.Stopped})
+		m.addEnd(c.RunID, runtable.Stopped)
 	}
-	return Answer{Status: Accepted, Clock: 1}, nil
+	return answer, err
 }
 
-func (m *fakeMinion) Poll(_ context.Context, _ PollCall) (PollAnswer, error) {
+func (m *fakeMinion) addEnd(id runtable.RunID, outcome runtable.Outcome) {
+	m.ended = append(m.ended, runtable.EndedRow{RunID: id, Number: uint64(len(m.ended) + 1), Outcome: outcome})
+}
+
+func (m *fakeMinion) Poll(_ context.Context, c PollCall) (PollAnswer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lists := PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, StartedUnixMs: m.startedUnixMs, Ended: m.ended}
+	m.polls++
+	answer, err := m.receive(c.Endpoint, c.Fence)
+	if err != nil || answer.Status != Accepted {
+		return PollAnswer{Answer: answer}, err
+	}
+	lists := PollAnswer{Answer: answer, StartedUnixMs: m.startedUnixMs, Ended: slices.Clone(m.ended)}
 	for ref := range m.running {
 		lists.Running = append(lists.Running, runtable.RunningRow{RunID: ref, Percent: 1})
 	}
@@ -72,7 +135,7 @@
 }
 
 func startFixture(t *testing.T) *fixture {
-	b := &fixture{t: t, minion: &fakeMinion{running: map[runtable.RunID]bool{}}, reports: make(chan *wirepb.RunnerReport, 1024)}
+	b := &fixture{t: t, minion: newFakeMinion("i-1", 10), reports: make(chan *wirepb.RunnerReport, 1024)}
 	var err error
 	b.runner, err = Start(Options{
 		Cluster: "c", Name: "r", Zone: "z", ListenAddress: "127.0.0.1:0", Minion: b.minion,
@@ -100,9 +163,14 @@
 
 // reportMinion sends a report of the minion to the runner.
 func (b *fixture) reportMinion(sequence uint64) {
-	b.runner.Report(b.t.Context(), Report{
-		Endpoint: "i-1", Service: "s", StartedUnixMs: 10, Sequence: sequence, Clock: 1, Capacity: runtable.Need{CPU: 4000, Memory: 100},
-	})
+	b.runner.Report(b.t.Context(), reportOfMinion("i-1", 10, sequence))
+}
+
+func reportOfMinion(endpoint string, startedUnixMs int64, sequence uint64) Report {
+	return Report{
+		Endpoint: endpoint, Service: "s", StartedUnixMs: startedUnixMs, Sequence: sequence, Clock: 1,
+		Capacity: runtable.Need{CPU: 4000, Memory: 100},
+	}
 }
 
 func (b *fixture) send(e *wirepb.Envelope) { assert.NilError(b.t, b.session.Send(wire.LaneTraffic, e)) }
@@ -173,6 +241,8 @@
 	b.runner.Leave(t.Context(), "i-1")
 	b.reportMinion(2)
 	assert.Assert(t, !b.runner.Dump().(Dump).Known)
+	b.reportMinion(3)
+	assert.Assert(t, !b.runner.Dump().(Dump).Known)
 	b.reportMinion(4)
 	assert.Assert(t, b.runner.Dump().(Dump).Known)
 }
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -46,6 +46,15 @@
 	// clock.
 	minClockRate = 0.98
 
+	// confirmationBackoff is the pause after a question to the minion about its
+	// incarnation that was not answered.
+	confirmationBackoff = 50 * time.Millisecond
+	// maxConfirmationAttempts is how often the minion is asked about an incarnation.
+	// It fills the time to the minion's next report.
+	maxConfirmationAttempts = 20
+	// maxCandidates bounds the incarnations that the minion is asked about in turn.
+	maxCandidates = 4
+
 	// maxOrderAge is the age above which an order is refused. Such an order was
 	// delayed, and its task may have been assigned to another runner since.
 	maxOrderAge = 400 * time.Millisecond
--- a/internal/runner/remembered.go
+++ b/internal/runner/remembered.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -54,45 +53,9 @@
 // is not used.
 type minionRemembered struct{ record *wirepb.MinionRecord }
 
-func (e minionRemembered) handle(l *loop, now time.Time) {
-	if !l.mayUse(e.record) {
-		return
+func (e minionRemembered) handle(l *loop, _ time.Time) {
+	if !e.record.Draining && l.incarnation.number == 0 {
+		report := reportOf(e.record)
+		l.propose(&report)
 	}
-	l.recordAsked = e.record
-	c := PollCall{Endpoint: e.record.Endpoint, Fence: l.fence}
-	l.call(callTimeout, func(ctx context.Context) event {
-		lists, err := l.p.opts.Minion.Poll(ctx, c)
-		return rememberedMinionAnswered{e.record, lists, err}
-	})
-}
-
-// mayUse reports whether the minion of a record is to be asked: it was not
-// draining, this runner knows no minion yet, and it is not asking about the same
-// record of another member.
-func (l *loop) mayUse(record *wirepb.MinionRecord) bool {
-	return !record.Draining && l.incarnation.Endpoint == "" && !sameMinion(l.recordAsked, record)
-}
-
-// rememberedMinionAnswered is the answer of the minion that is asked whether a record
-// describes it. err is set if no reply came.
-type rememberedMinionAnswered struct {
-	record *wirepb.MinionRecord
-	lists  PollAnswer
-	err    error
-}
-
-func (a rememberedMinionAnswered) handle(l *loop, now time.Time) {
-	l.recordAsked = nil
-	if l.incarnation.Endpoint != "" {
-		return // it has reported meanwhile, or another member remembers it too
-	}
-	if a.err != nil || a.lists.Status != Accepted || a.lists.StartedUnixMs != a.record.StartedUnixMs {
-		l.p.opts.Log.Info("recorded minion not confirmed", "endpoint", a.record.Endpoint, "born", a.record.StartedUnixMs,
-			"answered", a.err == nil, "verdict", callStatusNames[a.lists.Status], "present", a.lists.StartedUnixMs)
-		return
-	}
-	l.p.opts.Log.Info("recorded minion confirmed", "endpoint", a.record.Endpoint, "born", a.record.StartedUnixMs)
-	report := reportOf(a.record)
-	report.Clock = a.lists.Clock
-	l.beginIncarnation(now, report)
 }
--- a/internal/runner/remembered_test.go
+++ b/internal/runner/remembered_test.go
@@ -17,7 +17,8 @@
 func startWithoutReport(t *testing.T, startedUnixMs int64) *Process {
 	t.Helper()
 	left := runtable.RunID{TaskID: runtable.TaskID{Job: "before"}, Run: 1}
-	minion := &fakeMinion{running: map[runtable.RunID]bool{left: true}, startedUnixMs: startedUnixMs}
+	minion := newFakeMinion("i-1", startedUnixMs)
+	minion.running[left] = true
 	p, err := Start(Options{
 		Cluster: "c", Name: "r", Zone: "z", ListenAddress: "127.0.0.1:0", Minion: minion,
 		StopTimeout: time.Second, Log: logr.Discard(),
@@ -65,28 +66,66 @@
 // TestRecordOfAnotherIncarnationIsNotUsed: the minion has restarted, or it was
 // draining, so its record must not count as a report.
 func TestRecordOfAnotherIncarnationIsNotUsed(t *testing.T) {
-	p := startWithoutReport(t, 11)
 	draining := recordOf(11)
 	draining.Draining = true
-	unstarted := newLoop(p)
-	assert.Assert(t, unstarted.mayUse(recordOf(11)))
-	assert.Assert(t, !unstarted.mayUse(draining))
-	unstarted.recordAsked = recordOf(11)
-	assert.Assert(t, !unstarted.mayUse(recordOf(11)))
-	assert.Assert(t, unstarted.mayUse(recordOf(12)))
-	unstarted.recordAsked, unstarted.incarnation.Endpoint = nil, "i-2"
-	assert.Assert(t, !unstarted.mayUse(recordOf(11)))
-	handled := make(chan struct{})
-	p.enqueue(minionRemembered{recordOf(10)})
-	p.enqueue(rememberedMinionAnswered{recordOf(10), PollAnswer{Answer: Answer{Status: Accepted, Clock: 1}, StartedUnixMs: 11}, nil})
-	p.enqueue(rememberedMinionAnswered{recordOf(11), PollAnswer{Answer: Answer{Status: OtherIncarnation}}, nil})
-	p.enqueue(rememberedMinionAnswered{recordOf(11), PollAnswer{}, context.DeadlineExceeded})
-	p.enqueue(doneEvent{handled})
-	<-handled
+	otherName := recordOf(11)
+	otherName.Endpoint = "i-2"
+	for _, record := range []*wirepb.MinionRecord{recordOf(10), draining, otherName} {
+		p := startWithoutReport(t, 11)
+		p.enqueue(minionRemembered{record})
+		waitForNoCandidates(t, p)
+		assert.Equal(t, p.Dump().(Dump).Known, false)
+	}
+}
+
+// TestRecordOfASilentMinionIsNotUsed: no answer confirms nothing.
+func TestRecordOfASilentMinionIsNotUsed(t *testing.T) {
+	p := startWithoutReport(t, 11)
+	p.opts.Minion.(*fakeMinion).update(func(m *fakeMinion) { m.silent = true })
+	p.enqueue(minionRemembered{recordOf(11)})
+	waitForNoCandidates(t, p)
 	assert.Equal(t, p.Dump().(Dump).Known, false)
 }
 
-// doneEvent shows that the events before it were handled.
-type doneEvent struct{ done chan<- struct{} }
+// TestRecordsOfAllMembersAreAskedAboutOnce: every member sends the same record.
+func TestRecordsOfAllMembersAreAskedAboutOnce(t *testing.T) {
+	p := startWithoutReport(t, 11)
+	candidates := make(chan int, 1)
+	p.enqueue(testEvent(func(l *loop) {
+		for range 3 {
+			minionRemembered{recordOf(11)}.handle(l, time.Now())
+		}
+		candidates <- len(l.candidates)
+	}))
+	assert.Equal(t, <-candidates, 1)
+	waitForDump(t, p, func(d Dump) bool { return d.Ready })
+}
+
+// TestRecordIsNotUsedBesideAKnownMinion: the minion has reported itself, and what
+// members remember may be older.
+func TestRecordIsNotUsedBesideAKnownMinion(t *testing.T) {
+	b := startFixture(t)
+	b.runner.enqueue(testEvent(func(l *loop) {
+		minionRemembered{recordOf(11)}.handle(l, time.Now())
+		assert.Check(t, len(l.candidates) == 0)
+	}))
+	assert.Equal(t, b.runner.announce().Minion.StartedUnixMs, int64(10))
+}
+
+// waitForNoCandidates waits until the minion has been asked about all candidates.
+func waitForNoCandidates(t *testing.T, p *Process) {
+	t.Helper()
+	left := make(chan int, 1)
+	for end := time.Now().Add(hangTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p.enqueue(testEvent(func(l *loop) { left <- len(l.candidates) }))
+		if <-left == 0 {
+			return
+		}
+	}
+	t.Fatal("the minion is still being asked")
+}
+
+// testEvent is an event that a test handles itself.
+type testEvent func(l *loop)
 
-func (e doneEvent) handle(*loop, time.Time) { close(e.done) }
+func (e testEvent) handle(l *loop, _ time.Time) { e(l) }
