Runner: runs of an earlier incarnation end only by a list of the later one

What callers could see: a task that ran twice at once around a restart of a minion. Cause: once another incarnation had begun, all runs counted as stopped.

The fencing token is raised at a takeover. The minion refuses calls that were sent earlier as soon as it has received the next request for lists, so that a run which this list lacks is over. A run that it contains is stopped and reported once a list lacks it. Starts that were decided but not sent are dropped.

Evidence: runner TestRunThatBeganAtTheSuccessorHasNotEnded ("minion_ended" while the run was at work), TestStartToAnEarlierIncarnationIsRefused (accepted, not fenced) and TestOrderBeforeATakeoverStartsNothing (one start), runtable TestRunThatBeganAtTheLaterIncarnationIsStopped failed before and pass now.

Tests: TestMinionRestartEndsRuns and TestUnansweredStartAtAMinionThatEnds asked for the ends at once, which was the fault; they now also need the list that proves them, and the first checks that an earlier list proves nothing.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -148,6 +148,7 @@
 	l.incarnation = incarnation{Report: r, number: l.incarnation.number + 1}
 	l.lease.reset()
 	l.lease.recordClock(now, clock)
+	l.fence++ // so that the minion refuses calls that are in flight to the earlier incarnation
 	l.table.MinionRestarted(now)
 	l.p.announceIfChanged(&r)
 	l.updateReadiness(now)
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/runtable"
 )
 
 // placeRunning orders a task and waits until it runs.
@@ -141,3 +142,50 @@
 	b.runner.Report(context.Background(), reportOfMinion("i-1", 5, 1))
 	waitForDump(t, b.runner, func(d Dump) bool { return d.Ready })
 }
+
+// TestRunThatBeganAtTheSuccessorHasNotEnded guards against a start in flight that the next start of the minion carries out.
+func TestRunThatBeganAtTheSuccessorHasNotEnded(t *testing.T) {
+	b := startFixture(t)
+	b.minion.update(func(m *fakeMinion) { m.holdStarts, m.ignoreStops = true, true })
+	b.placeTask("a", 0)
+	inFlight := b.minion.takeHeld()
+	b.minion.restart("i-1", 20)
+	answer, err := b.minion.start(inFlight)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, Accepted)
+	b.runner.Report(t.Context(), reportOfMinion("i-1", 20, 1))
+	b.noEndFor(200 * time.Millisecond)
+	b.minion.update(func(m *fakeMinion) { m.ignoreStops = false })
+	b.waitForEnd(wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
+	running, _ := b.minion.count()
+	assert.Equal(t, running, 0)
+}
+
+// TestStartToAnEarlierIncarnationIsRefused guards against a run that begins after its end was reported.
+func TestStartToAnEarlierIncarnationIsRefused(t *testing.T) {
+	b := startFixture(t)
+	b.minion.update(func(m *fakeMinion) { m.holdStarts = true })
+	b.placeTask("a", 0)
+	inFlight := b.minion.takeHeld()
+	b.minion.restart("i-1", 20)
+	b.runner.Report(t.Context(), reportOfMinion("i-1", 20, 1))
+	b.waitForEnd(wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
+	answer, err := b.minion.start(inFlight)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, Fenced)
+}
+
+// TestOrderBeforeATakeoverStartsNothing guards against a start that is meant for the earlier incarnation and goes to the later one.
+func TestOrderBeforeATakeoverStartsNothing(t *testing.T) {
+	b := startFixture(t)
+	b.minion.restart("i-2", 20)
+	starts := make(chan int, 1)
+	b.runner.enqueue(testEvent(func(l *loop) {
+		o := runtable.Order{TaskID: runtable.TaskID{Job: "a"}, Run: 1, Need: runtable.Need{CPU: 1}, Expires: time.Now().Add(time.Hour)}
+		l.table.Place(time.Now(), o)
+		l.beginIncarnation(time.Now(), reportOfMinion("i-2", 20, 1), 1)
+		out := l.table.TakeOutput()
+		starts <- len(out.Starts)
+	}))
+	assert.Equal(t, <-starts, 0)
+}
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -36,6 +36,11 @@
 	clockZero     time.Time
 	// silent makes the minion answer no call.
 	silent bool
+	// holdStarts keeps starts without an answer in held, to be carried out later.
+	holdStarts bool
+	held       []StartCall
+	// ignoreStops makes stops take no effect.
+	ignoreStops bool
 }
 
 func newFakeMinion(endpoint string, startedUnixMs int64) *fakeMinion {
@@ -77,7 +82,38 @@
 	return answer, nil
 }
 
-func (m *fakeMinion) Start(_ context.Context, c StartCall) (Answer, error) {
+func (m *fakeMinion) Start(ctx context.Context, c StartCall) (Answer, error) {
+	if m.hold(c) {
+		<-ctx.Done()
+		return Answer{}, ctx.Err()
+	}
+	return m.start(c)
+}
+
+// hold keeps a start for later and reports whether the minion does so.
+func (m *fakeMinion) hold(c StartCall) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.holdStarts {
+		m.held = append(m.held, c)
+	}
+	return m.holdStarts
+}
+
+// takeHeld waits for a start that was held.
+func (m *fakeMinion) takeHeld() StartCall {
+	for {
+		m.mu.Lock()
+		held := m.held
+		m.mu.Unlock()
+		if len(held) > 0 {
+			return held[0]
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (m *fakeMinion) start(c StartCall) (Answer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	answer, err := m.receive(c.Endpoint, c.Fence)
@@ -93,7 +129,7 @@
 	defer m.mu.Unlock()
 	m.stops++
 	answer, err := m.receive(c.Endpoint, c.Fence)
-	if err == nil && answer.Status == Accepted && m.running[c.RunID] {
+	if err == nil && answer.Status == Accepted && m.running[c.RunID] && !m.ignoreStops {
 		delete(m.running, c.RunID)
 		m.addEnd(c.RunID, runtable.Stopped)
 	}
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -71,21 +71,35 @@
 	return out
 }
 
-// MinionRestarted handles the start of another incarnation of the minion. All runs at
-// the earlier one have ended.
+// MinionRestarted handles another incarnation of the minion in the place of the
+// present one. A start that is in flight to the earlier one may still be carried
+// out by the later one until that has received a call under a higher fencing token,
+// which the next request for lists carries. So a run is over once a list that is
+// requested from now on lacks it. A run that the list contains is stopped.
 func (t *Table) MinionRestarted(now time.Time) {
+	t.acked = 0
+	t.foreignRunsGone = false
+	t.health = health{}
+	t.out.Starts = nil // they are meant for the earlier incarnation
+	t.out.ListNow = true
 	for _, r := range t.sortedRuns() {
 		if r.state == waiting {
 			t.finish(now, r, NotRun, ReasonMinionGone)
 			continue
 		}
-		// A start without an answer may have taken effect.
-		t.finish(now, r, Stopped, ReasonMinionGone)
+		r.minionRestarted(now)
 	}
-	t.acked = 0
-	t.foreignRunsGone = false
-	t.health = health{}
-	t.out.ListNow = true
+}
+
+// minionRestarted leaves it to the next list whether the run has ended.
+func (r *run) minionRestarted(now time.Time) {
+	if r.state != stopping {
+		r.state = stopping
+		r.stopReason = ReasonMinionGone
+	}
+	r.stopAnsweredAt = now
+	r.stopSentAt = time.Time{} // the later incarnation has received none
+	r.listed = true            // the earlier one may have run it
 }
 
 // LeaseExpired handles the end of the lease of all runs at the minion: every run that
--- a/internal/runtable/table_test.go
+++ b/internal/runtable/table_test.go
@@ -156,7 +156,9 @@
 func TestUnansweredStartAtAMinionThatEnds(t *testing.T) {
 	tab := table(t)
 	tab.Place(at(1), order("a", 0, 1000))
+	tab.TakeOutput()
 	tab.MinionRestarted(at(20))
+	tab.ApplyListing(at(22), Listing{SentAt: at(21)})
 	assert.Equal(t, onlyEnd(t, tab).Outcome, Stopped)
 }
 
@@ -229,15 +231,56 @@
 	assert.Equal(t, tab.Acked(), uint64(1))
 }
 
+// TestMinionRestartEndsRuns: runs at the earlier incarnation are over once a list
+// of the later one lacks them.
 func TestMinionRestartEndsRuns(t *testing.T) {
 	tab := table(t)
 	started(t, tab, at(1), order("a", 0, 1000))
 	tab.MinionRestarted(at(5))
+	assert.Equal(t, len(tab.TakeOutput().Ends), 0)
+	assert.Assert(t, !tab.Ready())
+	assert.Equal(t, tab.Acked(), uint64(0))
+	tab.ApplyListing(at(6), Listing{SentAt: at(4)})
+	assert.Equal(t, len(tab.TakeOutput().Ends), 0)
+	tab.ApplyListing(at(7), Listing{SentAt: at(6)})
 	end := onlyEnd(t, tab)
 	assert.Equal(t, end.Outcome, Stopped)
+	assert.Equal(t, end.Reason, ReasonMinionGone)
 	assert.Equal(t, tab.Free(), Need{CPU: 10_000})
-	assert.Assert(t, !tab.Ready())
-	assert.Equal(t, tab.Acked(), uint64(0))
+	assert.Assert(t, tab.Ready())
+}
+
+// TestRunThatBeganAtTheLaterIncarnationIsStopped: a start in flight was carried out
+// by the later incarnation.
+func TestRunThatBeganAtTheLaterIncarnationIsStopped(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	started(t, tab, at(1), o)
+	tab.MinionRestarted(at(5))
+	tab.ApplyListing(at(7), Listing{SentAt: at(6), Running: []RunningRow{{RunID: ref(o)}}})
+	assert.Equal(t, len(tab.TakeOutput().Ends), 0)
+	tab.Tick(at(8))
+	assert.DeepEqual(t, tab.TakeOutput().Stops, []RunID{ref(o)})
+	tab.ApplyListing(at(11), Listing{SentAt: at(10), Ended: []EndedRow{{RunID: ref(o), Number: 1, Outcome: Stopped}}})
+	assert.Equal(t, onlyEnd(t, tab).Outcome, Stopped)
+}
+
+// TestRestartEndsRunsThatWereBeingStopped: the earlier incarnation answered the
+// stop, which proves nothing of the later one.
+func TestRestartEndsRunsThatWereBeingStopped(t *testing.T) {
+	tab := table(t)
+	o := order("a", 0, 1000)
+	started(t, tab, at(1), o)
+	tab.Stop(at(2), 1, o.TaskID, 1)
+	tab.StopAnswered(at(3), ref(o))
+	tab.MinionRestarted(at(5))
+	tab.TakeOutput()
+	tab.ApplyListing(at(7), Listing{SentAt: at(4)})
+	assert.Equal(t, len(tab.TakeOutput().Ends), 0)
+	tab.ApplyListing(at(8), Listing{SentAt: at(6)})
+	end := onlyEnd(t, tab)
+	assert.Equal(t, end.Outcome, Stopped)
+	assert.Equal(t, end.Reason, ReasonStopped)
 }
 
 // TestRunWithoutProgressIsStopped: a run that started well and makes no more
