--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -3,7 +3,6 @@
 
 import (
 	"errors"
-	"os"
 	"path/filepath"
 
 	"github.com/rotisserie/eris"
@@ -13,21 +12,10 @@
 // IsFull reports whether an error means that the disk or the quota is full.
 func IsFull(err error) bool { return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) }
 
-// SyncDir syncs a folder, which makes created, renamed and removed names
-// durable.
-func SyncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return eris.Wrap(err, "open folder")
-	}
-	err = d.Sync()
-	return errors.Join(err, d.Close())
-}
-
 // WriteFile replaces a file atomically and syncs the file and its folder.
 func WriteFile(path string, data []byte) error {
 	temp := path + ".tmp"
-	f, err := os.Create(temp)
+	f, err := CreateFile(temp)
 	if err != nil {
 		return eris.Wrap(err, "create file")
 	}
@@ -36,7 +24,7 @@
 	if err != nil {
 		return eris.Wrap(err, "write file")
 	}
-	if err := os.Rename(temp, path); err != nil {
+	if err := RenameFile(temp, path); err != nil {
 		return eris.Wrap(err, "rename file")
 	}
 	return SyncDir(filepath.Dir(path))
--- a/internal/snapshot/reader.go
+++ b/internal/snapshot/reader.go
@@ -196,7 +196,7 @@
 	for _, f := range files {
 		old := isSnapshot(f.Name()) && f.Name() < oldest
 		if old || isUnfinished(f.Name()) {
-			errs = append(errs, os.Remove(filepath.Join(dir, f.Name())))
+			errs = append(errs, disk.RemoveFile(filepath.Join(dir, f.Name())))
 		}
 	}
 	return eris.Wrap(errors.Join(append(errs, disk.SyncDir(dir))...), "prune snapshots")
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -15,7 +15,7 @@
 // Writer writes one snapshot. The snapshot exists only after Commit.
 type Writer struct {
 	dir, temp, path string
-	file            *os.File
+	file            *disk.File
 	buf             *bufio.Writer
 	chunk           []byte
 	checksum        uint32
@@ -37,7 +37,7 @@
 		return nil, wrap(err, "create snapshot folder")
 	}
 	path := filepath.Join(dir, fileName(meta.Index, meta.Term))
-	f, err := os.Create(path + tempSuffix)
+	f, err := disk.CreateFile(path + tempSuffix)
 	if err != nil {
 		return nil, wrap(err, "create snapshot")
 	}
@@ -112,8 +112,8 @@
 		return err
 	}
 	w.closed = true
-	if err := os.Rename(w.temp, w.path); err != nil {
-		_ = os.Remove(w.temp)
+	if err := disk.RenameFile(w.temp, w.path); err != nil {
+		_ = disk.RemoveFile(w.temp)
 		return wrap(err, "rename snapshot")
 	}
 	return disk.SyncDir(w.dir)
@@ -142,7 +142,7 @@
 	}
 	w.closed = true
 	_ = w.file.Close()
-	_ = os.Remove(w.temp)
+	_ = disk.RemoveFile(w.temp)
 }
 
 // wrap adds the failed operation to an error. The result wraps ErrDiskFull if
--- a/internal/wal/file.go
+++ b/internal/wal/file.go
@@ -8,6 +8,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"endivewing/internal/disk"
 )
 
 // lockName is the name of the file whose lock marks the folder as in use.
@@ -20,32 +22,20 @@
 	Truncate(size int64) error
 }
 
-// diskFile is a file on disk. Its Sync covers the data and the file size, which
-// is needed to read the data back.
-type diskFile struct{ *os.File }
-
-// Sync implements file.
-func (f diskFile) Sync() error {
-	for {
-		err := unix.Fdatasync(int(f.Fd()))
-		if !errors.Is(err, unix.EINTR) {
-			return err
-		}
-	}
-}
-
 func createFile(path string) (file, error) {
-	return openAppend(path, os.O_CREATE|os.O_TRUNC)
+	f, err := disk.CreateAppend(path)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
 }
 
-func openFile(path string) (file, error) { return openAppend(path, 0) }
-
-func openAppend(path string, flags int) (file, error) {
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND|flags, 0o644)
+func openFile(path string) (file, error) {
+	f, err := disk.OpenAppend(path)
 	if err != nil {
 		return nil, err
 	}
-	return diskFile{f}, nil
+	return f, nil
 }
 
 // lockDir locks the folder. The lock is held until the returned file is closed or
--- a/internal/wal/read.go
+++ b/internal/wal/read.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/disk"
 )
 
 // Version is the format version of the segment files.
@@ -106,7 +107,7 @@
 	for _, f := range files {
 		switch {
 		case strings.HasSuffix(f.Name(), segmentSuffix+tempSuffix):
-			if err := os.Remove(filepath.Join(r.dir, f.Name())); err != nil {
+			if err := disk.RemoveFile(filepath.Join(r.dir, f.Name())); err != nil {
 				return nil, eris.Wrap(err, "remove unfinished segment")
 			}
 		case strings.HasSuffix(f.Name(), segmentSuffix):
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -245,7 +245,7 @@
 	}
 	n := 0
 	for n < len(l.fullSegments) && l.fullSegments[n].last <= index {
-		if err := os.Remove(l.fullSegments[n].path); err != nil {
+		if err := disk.RemoveFile(l.fullSegments[n].path); err != nil {
 			return eris.Wrap(err, "remove segment")
 		}
 		n++
@@ -276,10 +276,10 @@
 	temp := path + tempSuffix
 	f, size, err := l.writeFirstFrame(temp)
 	if err != nil {
-		_ = os.Remove(temp)
+		_ = disk.RemoveFile(temp)
 		return err
 	}
-	if err := errors.Join(os.Rename(temp, path), disk.SyncDir(l.dir)); err != nil {
+	if err := errors.Join(disk.RenameFile(temp, path), disk.SyncDir(l.dir)); err != nil {
 		_ = f.Close()
 		return l.fail("rename", err)
 	}
