Log: a full disk that refused more than a write ended the process

Operators saw changes refused or unanswered long after disks that had been full one after another had room again.

Cause: only a write that met a full disk was tried again. A sync that said so (disks may find out only then), a refused truncation of the half-written frame, and a refused rename, removal or sync of the folder between segments ended the process; a start with a torn tail failed as well, each time until there was room. A removal that failed halfway made the next one fail for a file that was gone. Members that end in turn leave no majority.

Why it works: whatever a full disk refuses, the frame does not count and its bytes are removed before the next one. After a failed sync the whole frame is written anew, so no page of it is taken as durable that was lost. Other errors still end the process.

--- a/internal/control/disk.go
+++ b/internal/control/disk.go
@@ -145,7 +145,18 @@
 	if release == 0 {
 		return nil
 	}
-	return w.log.Release(release)
+	return w.release(release)
+}
+
+// release removes log entries that are no longer needed. While the disk is full they
+// may have to stay until the next release.
+func (w *logWriter) release(index uint64) error {
+	err := w.log.Release(index)
+	if errors.Is(err, wal.ErrDiskFull) {
+		w.enqueue(entriesNotReleased{err})
+		return nil
+	}
+	return err
 }
 
 // errClosedWhileFull is returned if the writer is closed while it waits for disk
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -39,6 +39,10 @@
 // diskFull reports that the disk is full or has free space again.
 type diskFull struct{ full bool }
 
+// entriesNotReleased reports that old log entries could not be removed, because the
+// disk was full.
+type entriesNotReleased struct{ err error }
+
 // diskFailed reports a failed write. It ends the process, because the contents
 // of the disk are unknown.
 type diskFailed struct{ err error }
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -25,6 +25,9 @@
 	l.core.TransferLeader(0)
 }
 
+// handle logs that old log entries take up room until the next release.
+func (e entriesNotReleased) handle(l *loop) { l.opts.Log.Error(e.err, "old log entries stay") }
+
 // handle ends the process, because the contents of the disk are unknown after a
 // failed sync.
 func (d diskFailed) handle(l *loop) { l.fail(eris.Wrap(d.err, "write log")) }
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -10,7 +10,7 @@
 	// ErrLocked means that another process has the folder open.
 	ErrLocked = errors.New("wal: folder is in use by another process")
 	// ErrDiskFull means that the disk is full and the log is unchanged. The same
-	// append can be retried once there is space.
+	// call can be repeated once there is space.
 	ErrDiskFull = errors.New("wal: disk is full")
 	// ErrVersion means that a file has a format version that this program can't
 	// read.
@@ -34,8 +34,8 @@
 	return fmt.Sprintf("wal: %s is damaged at offset %d: %s", e.File, e.Offset, e.Reason)
 }
 
-// FatalError reports that the state of the disk is unknown, as after a failed
-// sync. The process must end, because a later sync may succeed although pages
+// FatalError reports that the state of the disk is unknown, as after a sync that
+// failed although the disk was not full. The process must end, because a later sync may succeed although pages
 // were lost.
 type FatalError struct {
 	File string
--- a/internal/wal/fault_test.go
+++ b/internal/wal/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/disk"
 )
 
 // faultyFile is a file with injected errors.
@@ -199,3 +201,79 @@
 	r := &reader{}
 	return r, r.readContents("file", 1, data, true)
 }
+
+// TestFullDiskThatRefusesSyncOrTruncationEndedTheProcess: a disk may say at the sync
+// that it is full, and may refuse to shorten a file as well.
+func TestFullDiskThatRefusesSyncOrTruncationEndedTheProcess(t *testing.T) {
+	for name, fault := range map[string]faultyFile{
+		"sync":                {syncErr: unix.ENOSPC},
+		"write and truncate":  {writeErr: unix.ENOSPC, truncateErr: unix.ENOSPC},
+		"write and sync":      {writeErr: unix.ENOSPC, syncErr: unix.EDQUOT},
+		"sync and truncate":   {syncErr: unix.ENOSPC, truncateErr: unix.ENOSPC},
+		"every one of a file": {writeErr: unix.ENOSPC, syncErr: unix.ENOSPC, truncateErr: unix.ENOSPC},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &faultyFile{}
+			l := openFaulty(t, t.TempDir(), f)
+			assert.NilError(t, l.Append(record(&wirepb.HardState{Term: 1}, 1, 1)))
+			f.writeErr, f.syncErr, f.truncateErr = fault.writeErr, fault.syncErr, fault.truncateErr
+			for range 3 {
+				assert.ErrorIs(t, l.Append(record(nil, 1, 2)), ErrDiskFull)
+			}
+			f.writeErr, f.syncErr, f.truncateErr = nil, nil, nil
+			assert.NilError(t, l.Append(record(nil, 1, 2, 3)))
+			found := reopen(t, l)
+			assert.Equal(t, len(found.Entries), 3)
+			assert.Equal(t, found.TornBytes, int64(0))
+		})
+	}
+}
+
+// TestFullDiskBetweenSegmentsEndedTheProcess: each operation that begins a segment or
+// removes old ones may meet the full disk.
+func TestFullDiskBetweenSegmentsEndedTheProcess(t *testing.T) {
+	for _, refused := range []disk.Operation{disk.Create, disk.Write, disk.Sync, disk.Rename, disk.Remove, disk.SyncFolder} {
+		t.Run(fmt.Sprint("operation ", refused), func(t *testing.T) {
+			l, _ := mustOpen(t, t.TempDir(), Options{SegmentBytes: 1})
+			assert.NilError(t, l.Append(record(&wirepb.HardState{Term: 1}, 1, 1)))
+			assert.NilError(t, l.Append(record(nil, 1, 2)))
+			restore := disk.InjectFaults(func(o disk.Operation, _ string) error {
+				if o == refused {
+					return unix.ENOSPC
+				}
+				return nil
+			})
+			defer restore()
+			for range 3 {
+				err := l.Append(record(nil, 1, 3))
+				assert.Assert(t, err == nil && refused == disk.Remove || errors.Is(err, ErrDiskFull), err)
+				err = l.Release(1)
+				assert.Assert(t, err == nil || errors.Is(err, ErrDiskFull), err)
+			}
+			restore()
+			assert.NilError(t, l.Append(record(nil, 1, 3, 4)))
+			assert.NilError(t, l.Release(1))
+			found := reopen(t, l)
+			assert.Equal(t, found.Entries[len(found.Entries)-1].Index, uint64(4))
+			assert.Equal(t, found.Hard.Term, uint64(1))
+		})
+	}
+}
+
+// TestStartWithTornTailOnFullDiskFailed: the torn tail stays until there is room.
+func TestStartWithTornTailOnFullDiskFailed(t *testing.T) {
+	dir, path, _ := threeFrames(t)
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, data[:len(data)-3], 0o644))
+	restore := disk.InjectFaults(func(disk.Operation, string) error { return unix.ENOSPC })
+	defer restore()
+	l, found := mustOpen(t, dir, Options{})
+	assert.Equal(t, len(found.Entries), 2)
+	assert.ErrorIs(t, l.Append(record(nil, 1, 3)), ErrDiskFull)
+	restore()
+	assert.NilError(t, l.Append(record(nil, 1, 3, 4)))
+	again := reopen(t, l)
+	assert.Equal(t, len(again.Entries), 4)
+	assert.Equal(t, again.TornBytes, int64(0))
+}
--- a/internal/wal/read.go
+++ b/internal/wal/read.go
@@ -107,7 +107,8 @@
 	for _, f := range files {
 		switch {
 		case strings.HasSuffix(f.Name(), segmentSuffix+tempSuffix):
-			if err := disk.RemoveFile(filepath.Join(r.dir, f.Name())); err != nil {
+			// While the disk is full the file may have to stay. It is replaced later.
+			if err := disk.RemoveFile(filepath.Join(r.dir, f.Name())); err != nil && !disk.IsFull(err) {
 				return nil, eris.Wrap(err, "remove unfinished segment")
 			}
 		case strings.HasSuffix(f.Name(), segmentSuffix):
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -57,6 +57,9 @@
 	file         file
 	// size is the size of the active segment, in bytes.
 	size int64
+	// leftover is set while the active segment may hold bytes after size, of a frame
+	// that met a full disk. They have to go before the next frame.
+	leftover bool
 
 	// sequence is the sequence number of the last frame.
 	sequence uint64
@@ -132,12 +135,26 @@
 	if r.tornBytes == 0 {
 		return nil
 	}
-	if err := f.Truncate(l.size); err != nil {
-		return &FatalError{File: l.active.path, Op: "truncate", Err: err}
+	l.leftover = true
+	if err := l.removeLeftover(); err != nil && !errors.Is(err, ErrDiskFull) {
+		return err
 	}
-	if err := f.Sync(); err != nil {
-		return &FatalError{File: l.active.path, Op: "sync", Err: err}
+	return nil
+}
+
+// removeLeftover removes what a frame that met a full disk, or a crash, has left
+// behind. While the disk is full that may fail with ErrDiskFull.
+func (l *Log) removeLeftover() error {
+	if !l.leftover {
+		return nil
+	}
+	if err := l.file.Truncate(l.size); err != nil {
+		return l.failUnlessFull("truncate", err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.failUnlessFull("sync", err)
 	}
+	l.leftover = false
 	return nil
 }
 
@@ -151,6 +168,9 @@
 	if empty(records) {
 		return nil
 	}
+	if err := l.removeLeftover(); err != nil {
+		return err
+	}
 	if l.size >= l.opts.SegmentBytes {
 		if err := l.startSegment(); err != nil {
 			return err
@@ -193,29 +213,41 @@
 	return buf, nil
 }
 
-// write appends a frame and syncs it. If the disk is full, it leaves the file
-// unchanged.
+// write appends a frame and syncs it. If the disk is full, the frame does not count
+// and its bytes are removed, at once or before the next frame. A disk may find out
+// at the sync that it is full; the whole frame is written again then.
 func (l *Log) write(frame []byte) error {
 	if _, err := l.file.Write(frame); err != nil {
-		return l.undoWrite(err)
+		return l.undoWrite("write", err)
 	}
 	if err := l.file.Sync(); err != nil {
-		return l.fail("sync", err)
+		return l.undoWrite("sync", err)
 	}
 	l.size += int64(len(frame))
 	return nil
 }
 
-// undoWrite handles a failed write. If the disk is full, it removes the partly
-// written frame and returns ErrDiskFull. Any other error is fatal.
-func (l *Log) undoWrite(cause error) error {
-	if !disk.IsFull(cause) {
-		return l.fail("write", cause)
+// undoWrite handles a failed write or sync of a frame. If the disk is full, it
+// removes the frame and returns ErrDiskFull. Any other error is fatal.
+func (l *Log) undoWrite(op string, cause error) error {
+	full := l.failUnlessFull(op, cause)
+	if !errors.Is(full, ErrDiskFull) {
+		return full
+	}
+	l.leftover = true
+	if err := l.removeLeftover(); err != nil {
+		return err
 	}
-	if err := l.file.Truncate(l.size); err != nil {
-		return l.fail("truncate", err)
+	return full
+}
+
+// failUnlessFull returns ErrDiskFull if an operation on the active segment failed
+// because the disk is full. Any other error is fatal.
+func (l *Log) failUnlessFull(op string, cause error) error {
+	if disk.IsFull(cause) {
+		return eris.Wrapf(ErrDiskFull, "%s %s", op, l.active.path)
 	}
-	return eris.Wrapf(ErrDiskFull, "append to %s", l.active.path)
+	return l.fail(op, cause)
 }
 
 func (l *Log) fail(op string, cause error) error {
@@ -238,23 +270,29 @@
 
 // Release removes the oldest segments, up to the first one that holds an entry
 // after an index or is active. The caller must have a durable snapshot that
-// covers the index.
+// covers the index. After ErrDiskFull the call may be repeated.
 func (l *Log) Release(index uint64) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	n := 0
-	for n < len(l.fullSegments) && l.fullSegments[n].last <= index {
-		if err := disk.RemoveFile(l.fullSegments[n].path); err != nil {
-			return eris.Wrap(err, "remove segment")
+	before := len(l.fullSegments)
+	for len(l.fullSegments) > 0 && l.fullSegments[0].last <= index {
+		if err := disk.RemoveFile(l.fullSegments[0].path); err != nil {
+			return releaseError("remove segment", err)
 		}
-		n++
+		l.fullSegments = l.fullSegments[1:]
 	}
-	if n == 0 {
+	if len(l.fullSegments) == before {
 		return nil
 	}
-	l.fullSegments = l.fullSegments[n:]
-	return disk.SyncDir(l.dir)
+	return releaseError("sync log folder", disk.SyncDir(l.dir))
+}
+
+func releaseError(op string, err error) error {
+	if disk.IsFull(err) {
+		return eris.Wrap(ErrDiskFull, op)
+	}
+	return eris.Wrap(err, op)
 }
 
 // Close closes the files and releases the lock. It writes nothing.
@@ -279,9 +317,9 @@
 		_ = disk.RemoveFile(temp)
 		return err
 	}
-	if err := errors.Join(disk.RenameFile(temp, path), disk.SyncDir(l.dir)); err != nil {
+	if err := l.publishSegment(temp, path); err != nil {
 		_ = f.Close()
-		return l.fail("rename", err)
+		return err
 	}
 	if l.file != nil {
 		_ = l.file.Close()
@@ -294,6 +332,23 @@
 	return nil
 }
 
+// publishSegment gives a segment its final name. If the disk is full, the name may
+// be there already; the next attempt replaces the file.
+func (l *Log) publishSegment(temp, path string) error {
+	err := disk.RenameFile(temp, path)
+	if err == nil {
+		err = disk.SyncDir(l.dir)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case disk.IsFull(err):
+		return eris.Wrapf(ErrDiskFull, "rename to %s", path)
+	default:
+		return l.fail("rename", err)
+	}
+}
+
 func (l *Log) writeFirstFrame(path string) (file, int64, error) {
 	frame, err := l.encode([]*wirepb.LogRecord{{Hard: l.hard}})
 	if err != nil {
@@ -310,7 +365,7 @@
 	}
 	if err := f.Sync(); err != nil {
 		_ = f.Close()
-		return nil, 0, &FatalError{File: path, Op: "sync", Err: err}
+		return nil, 0, segmentError(path, "sync", err)
 	}
 	return f, int64(len(buf)), nil
 }
