--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -102,7 +102,7 @@
 }
 
 // Commit makes the snapshot durable under its final name. After an error the
-// temporary file is gone and the snapshot does not count as stored.
+// file is gone and the snapshot does not count as stored.
 func (w *Writer) Commit() error {
 	if w.closed {
 		return ErrClosed
@@ -112,11 +112,23 @@
 		return err
 	}
 	w.closed = true
+	return w.publish()
+}
+
+// publish gives the file its final name. If the name can't be made durable, it is
+// taken back, unless it stood for an earlier file: the contents are the same.
+func (w *Writer) publish() error {
+	_, err := os.Stat(w.path)
+	replaces := err == nil
 	if err := disk.RenameFile(w.temp, w.path); err != nil {
 		_ = disk.RemoveFile(w.temp)
 		return wrap(err, "rename snapshot")
 	}
-	return disk.SyncDir(w.dir)
+	err = disk.SyncDir(w.dir)
+	if err != nil && !replaces {
+		_ = disk.RemoveFile(w.path)
+	}
+	return wrap(err, "sync snapshot folder")
 }
 
 func (w *Writer) finish() error {
