--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -17,15 +17,17 @@
 	// entrySizes are the sizes of the newest applied entries in bytes, oldest
 	// first.
 	entrySizes []int
-	// saving is set while a snapshot is being written.
-	saving bool
+	// saving is set while a snapshot is being written. savingBytes is the size of the
+	// entries since the one before that it covers.
+	saving      bool
+	savingBytes int64
 	// retryAt is the earliest time of the next snapshot after a failed one.
 	retryAt time.Time
 }
 
 // snapshotWriteBackoff is the pause after a snapshot failed because the disk was
-// full.
-const snapshotWriteBackoff = 10 * time.Second
+// full. It is short, since a snapshot lets old log entries go.
+const snapshotWriteBackoff = time.Second
 
 // applied records the size of an applied entry. retain is the number of entries
 // whose sizes are needed.
@@ -66,8 +68,7 @@
 		l.opts.Log.Error(err, "snapshot not written")
 		return
 	}
-	s.saving = true
-	s.bytes = 0
+	s.saving, s.savingBytes = true, s.bytes
 	frozen := l.state.Freeze()
 	p := l.p
 	p.snapshotTransfers.goroutines.Go(func() {
@@ -105,6 +106,7 @@
 		return
 	}
 	l.snapshots.lastIndex = s.index
+	l.snapshots.bytes -= l.snapshots.savingBytes
 	retain := l.snapshots.entriesToRetain(l.applied-s.index, l.opts.RetainEntries)
 	if err := l.core.Compact(s.index, retain); err != nil {
 		l.opts.Log.Error(err, "log not compacted")
