--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -144,6 +144,7 @@
 		l.handleReady(l.core.Ready())
 	}
 	l.releaseChangedSyncs()
+	l.saveSnapshotIfDue()
 }
 
 // handleReady processes one Ready of the core.
@@ -273,7 +274,7 @@
 	}
 }
 
-// runHousekeeping writes a snapshot and the minion records if they are due. On
+// runHousekeeping writes a failed snapshot again and the minion records if they are due. On
 // the leader, it also runs the periodic checks of leases, retention, disks and
 // membership.
 func (l *loop) runHousekeeping(now time.Time) {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -100,6 +100,8 @@
 		return reasonDiskFull
 	case len(l.proposals.open) >= maxOpenProposals, l.proposals.bytes+bytes > maxOpenProposalBytes:
 		return reasonBusy
+	case l.snapshots.overdue(l.opts.SnapshotBytes):
+		return reasonSnapshotOverdue
 	}
 	return ""
 }
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -26,10 +26,12 @@
 	reasonBusy         = "busy"
 	reasonLeaderLost   = "leadership_lost"
 	reasonSnapshot     = "replaced_by_snapshot"
-	reasonEnded        = "incarnation_ended"
-	reasonUnknown      = "unknown_request"
-	reasonTooLarge     = "record_too_large"
-	reasonOtherDisk    = "member_has_another_disk"
+	// reasonSnapshotOverdue means that the log has to be shortened first.
+	reasonSnapshotOverdue = "snapshot_overdue"
+	reasonEnded           = "incarnation_ended"
+	reasonUnknown         = "unknown_request"
+	reasonTooLarge        = "record_too_large"
+	reasonOtherDisk       = "member_has_another_disk"
 )
 
 // onOutboundEnvelope handles messages on sessions that this member opened.
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -29,6 +29,15 @@
 // full. It is short, since a snapshot lets old log entries go.
 const snapshotWriteBackoff = time.Second
 
+// overdueFactor times the size at which a snapshot is due is the size of the log
+// without a snapshot from which a leader takes no more. Otherwise the log would fill
+// the disk, and the snapshot that lets it go would find no room either.
+const overdueFactor = 3
+
+// overdue reports whether the log has to be shortened before it grows. due is the size
+// at which a snapshot is due, in bytes.
+func (s *snapshotSchedule) overdue(due int64) bool { return s.bytes >= overdueFactor*due }
+
 // applied records the size of an applied entry. retain is the number of entries
 // whose sizes are needed.
 func (s *snapshotSchedule) applied(bytes, retain int) {
--- a/internal/controlmember/controlmember.go
+++ b/internal/controlmember/controlmember.go
@@ -43,6 +43,10 @@
 	// number kept after one. It keeps the log short, because documents are
 	// large and few.
 	snapshotEntries = 400
+	// snapshotBytes is the size of the log entries after which a snapshot is due even
+	// if they are few. A member's disk holds 128 MB: these entries, as many that are
+	// kept, a part of a segment before them, and two snapshots.
+	snapshotBytes = 16 << 20
 )
 
 // Options configures a Member.
@@ -108,7 +112,7 @@
 		ID: m.identity.ID, ListenAddress: m.opts.ListenAddress, DataDir: filepath.Join(m.opts.DataDir, "log"),
 		Join: len(m.identity.InitialMembers) == 0, Members: m.identity.initialPeers(),
 		Tick: electionTimeout / control.DefaultElectionTicks, StartTicks: startTicks,
-		SnapshotEntries: snapshotEntries, RetainEntries: snapshotEntries,
+		SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes, RetainEntries: snapshotEntries,
 		Voters: m.opts.Voters, SessionHeartbeatInterval: directory.SessionHeartbeatInterval, SessionIdleTimeout: directory.SessionIdleTimeout,
 		Log: m.opts.Log, Scope: m.opts.Scope,
 	}
