Log: what a killed process had written but not synced counted as durable after its restart

Cause: a start read the frame back from the page cache and took it as stored. The log skips a sync when there is nothing to write, so the next acknowledgement could go out while a loss of power could still take the frame, or the name of a segment whose folder was not synced.

Evidence: TestFrameOfAKilledProcessCountedAsSynced failed first: an append without records returned although nothing had been synced since the start. The loss itself was not played; most acknowledgements after a start come with a new commit index, whose write syncs.

Why it works: a start syncs the segment and its folder, and an append waits for that as long as a full disk refuses it.

--- a/internal/wal/fault_test.go
+++ b/internal/wal/fault_test.go
@@ -277,3 +277,36 @@
 	assert.Equal(t, len(again.Entries), 4)
 	assert.Equal(t, again.TornBytes, int64(0))
 }
+
+// TestFrameOfAKilledProcessCountedAsSynced: a process that is killed between write and
+// sync leaves a whole frame that a loss of power may still take. The next start has to
+// sync it before anything relies on it, and a full disk may refuse that for a while.
+func TestFrameOfAKilledProcessCountedAsSynced(t *testing.T) {
+	dir, path, _ := threeFrames(t)
+	synced, named, full := 0, 0, disk.Sync
+	restore := disk.InjectFaults(func(o disk.Operation, at string) error {
+		switch {
+		case o == full:
+			return unix.ENOSPC
+		case o == disk.Sync && at == path:
+			synced++
+		case o == disk.SyncFolder && at == dir:
+			named++
+		}
+		return nil
+	})
+	defer restore()
+	l, found := mustOpen(t, dir, Options{})
+	assert.Equal(t, len(found.Entries), 3)
+	assert.ErrorIs(t, l.Append(record(nil, 1)), ErrDiskFull, "an acknowledgement without new entries relies on the log too")
+	full = disk.SyncFolder
+	assert.ErrorIs(t, l.Append(record(nil, 1)), ErrDiskFull, "the segment may lack its name")
+	full = 0
+	assert.NilError(t, l.Append(record(nil, 1)))
+	assert.Equal(t, named, 1)
+	assert.NilError(t, l.Close())
+	synced, named = 0, 0
+	_, _ = mustOpen(t, dir, Options{})
+	assert.Equal(t, synced, 1)
+	assert.Equal(t, named, 1)
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -60,6 +60,9 @@
 	// leftover is set while the active segment may hold bytes after size, of a frame
 	// that met a full disk. They have to go before the next frame.
 	leftover bool
+	// unsynced is set while it is unknown whether the active segment and its name are
+	// durable.
+	unsynced bool
 
 	// sequence is the sequence number of the last frame.
 	sequence uint64
@@ -132,45 +135,51 @@
 		return eris.Wrap(err, "open segment")
 	}
 	l.file = f
-	if r.tornBytes == 0 {
-		return nil
-	}
-	l.leftover = true
-	if err := l.removeLeftover(); err != nil && !errors.Is(err, ErrDiskFull) {
+	// The process that wrote the last frame, or gave the segment its name, may have
+	// been killed before the sync.
+	l.leftover, l.unsynced = r.tornBytes > 0, true
+	if err := l.settle(); err != nil && !errors.Is(err, ErrDiskFull) {
 		return err
 	}
 	return nil
 }
 
-// removeLeftover removes what a frame that met a full disk, or a crash, has left
-// behind. While the disk is full that may fail with ErrDiskFull.
-func (l *Log) removeLeftover() error {
-	if !l.leftover {
-		return nil
-	}
-	if err := l.file.Truncate(l.size); err != nil {
-		return l.failUnlessFull("truncate", err)
+// settle removes what a frame that met a full disk, or a crash, has left behind, and
+// makes the active segment durable. While the disk is full that may fail with
+// ErrDiskFull.
+func (l *Log) settle() error {
+	if l.leftover {
+		if err := l.file.Truncate(l.size); err != nil {
+			return l.failUnlessFull("truncate", err)
+		}
+		l.leftover, l.unsynced = false, true
 	}
-	if err := l.file.Sync(); err != nil {
-		return l.failUnlessFull("sync", err)
+	if l.unsynced {
+		if err := l.file.Sync(); err != nil {
+			return l.failUnlessFull("sync", err)
+		}
+		if err := disk.SyncDir(l.dir); err != nil {
+			return l.failUnlessFull("sync the name of", err)
+		}
+		l.unsynced = false
 	}
-	l.leftover = false
 	return nil
 }
 
-// Append writes records and syncs once. After ErrDiskFull the records are not in
+// Append writes records and syncs once. Without records it returns once all earlier
+// ones are durable. After ErrDiskFull the records are not in
 // the log and the same call may be repeated. After ErrTooLarge the log can still
 // be used. After any other error the log must not be used any more.
 func (l *Log) Append(records ...*wirepb.LogRecord) error {
 	if l.failed != nil {
 		return l.failed
 	}
+	if err := l.settle(); err != nil {
+		return err
+	}
 	if empty(records) {
 		return nil
 	}
-	if err := l.removeLeftover(); err != nil {
-		return err
-	}
 	if l.size >= l.opts.SegmentBytes {
 		if err := l.startSegment(); err != nil {
 			return err
@@ -235,7 +244,7 @@
 		return full
 	}
 	l.leftover = true
-	if err := l.removeLeftover(); err != nil {
+	if err := l.settle(); err != nil {
 		return err
 	}
 	return full
