Runner: a record without a name stood for a minion

Cause: a record of a control member was used if a minion answered with its start, also when it named no endpoint, service or capacity. The empty endpoint also means that no minion is known.

Evidence: TestRecordWithoutNameStoodForAMinion failed first for all three parts (the record was asked about; only that was shown). TestNoRecordEndsTheProcess bears any record and passed from the start.

Why it works: such a record is logged and skipped, and the next one is used.

--- a/internal/runner/remembered.go
+++ b/internal/runner/remembered.go
@@ -66,10 +66,14 @@
 	})
 }
 
-// mayUse reports whether the minion of a record is to be asked: it was not
-// draining, this runner knows no minion yet, and it is not asking about the same
+// mayUse reports whether the minion of a record is to be asked: the record names one,
+// it was not draining, this runner knows no minion yet, and it is not asking about the same
 // record of another member.
 func (l *loop) mayUse(record *wirepb.MinionRecord) bool {
+	if record.Endpoint == "" || record.Service == "" || record.Capacity == nil {
+		l.p.opts.Log.Info("record names no minion", "endpoint", record.Endpoint, "service", record.Service)
+		return false
+	}
 	return !record.Draining && l.incarnation.Endpoint == "" && !sameMinion(l.recordAsked, record)
 }
 
