A dispatcher asks a runner that is back for the runs that it lost

What callers saw: a job whose runner was lost for a moment (a channel that was reset) waited 1.8 s before its task was placed again, longer than most callers wait. And what counted as over after 1.8 s could still be at work: a connected runner whose stops the minion does not answer renews the lease of all runs.

Cause: a run at a lost runner counted as over on elapsed time alone (lostRunTimeout), also when the runner was there again and knew better.

The first report on a new session makes the dispatcher ask for its unresolved runs at that runner: StopTasks that lists runs is answered with the end of each of them. The runner stops a run that is still there and reports its end when the minion has confirmed it. A run that it does not have is reported as "not_here", with two exceptions, in which the answer waits: another run of the task is at work here, or the runner is a new process and its minion has not yet listed that no foreign run is left. While a runner is connected and has not answered, no time makes its runs count as over. lostRunTimeout is left for runners that do not come back.

A runner of an earlier release does not answer for runs that it does not have; the task then waits until its job's deadline.

"lost run placed again" is a new log line with job, task, run, runner, the time since the loss and whether the runner confirmed the end.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -63,11 +63,11 @@
 	return best
 }
 
-// tasksAt returns the number of placed tasks of a step at a runner.
+// tasksAt returns the number of tasks of a step that may be at work at a runner.
 func (o *openJob) tasksAt(step int, id RunnerID) int {
 	n := 0
 	for i := range o.tasks[step] {
-		if t := &o.tasks[step][i]; t.state == placed && t.runner == id {
+		if t := &o.tasks[step][i]; t.mayRunAt(id) {
 			n++
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,13 +107,17 @@
 // is new.
 func (d *Dispatcher) UpdateRunner(now time.Time, id RunnerID, status RunnerStatus) {
 	r := d.runners[id]
-	if r == nil {
+	isNew := r == nil
+	if isNew {
 		r = &runner{id: id}
 		d.runners[id] = r
 		d.sortedRunners = append(d.sortedRunners, r)
 		slices.SortFunc(d.sortedRunners, func(a, b *runner) int { return int(a.id) - int(b.id) })
 	}
 	r.update(status)
+	if isNew {
+		d.askForLostRuns(r)
+	}
 	d.lastChange = now
 }
 
@@ -134,25 +138,6 @@
 	return 0
 }
 
-// RunnerLost handles the end of a runner's session. Its runs may still be
-// active for a while.
-func (d *Dispatcher) RunnerLost(now time.Time, id RunnerID) {
-	delete(d.runners, id)
-	d.sortedRunners = slices.DeleteFunc(d.sortedRunners, func(r *runner) bool { return r.id == id })
-	for _, key := range slices.Sorted(maps.Keys(d.jobs)) {
-		o := d.jobs[key]
-		for _, tasks := range o.tasks {
-			for i := range tasks {
-				if t := &tasks[i]; t.state == placed && t.runner == id {
-					t.state = unresolved
-					t.mustHaveEndedAt = now.Add(lostRunTimeout)
-					o.lost++
-				}
-			}
-		}
-	}
-}
-
 // RunEnded handles the end of a run. Ends of unknown runs only reduce the number
 // of outstanding tasks.
 func (d *Dispatcher) RunEnded(now time.Time, id RunnerID, e TaskEnd) {
@@ -167,6 +152,7 @@
 	if t == nil {
 		return
 	}
+	t.mustHaveEndedAt = time.Time{} // its runner knows
 	step := int(e.Step)
 	o.hasRun = o.hasRun || e.Outcome != runtable.NotRun
 	switch e.Outcome {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -16,6 +16,9 @@
 	// unresolved means that the runner was lost and the run may still be
 	// active.
 	unresolved
+	// asked means that the runner is connected again and was asked to end the
+	// run. The task waits for its answer.
+	asked
 	done
 )
 
@@ -31,6 +34,10 @@
 	mustHaveStartedAt time.Time
 	// mustHaveEndedAt is when an unresolved run must have ended.
 	mustHaveEndedAt time.Time
+	// lostAt is when the runner of the last run was lost; zero if it was not.
+	lostAt time.Time
+	// lostRunner is the name of that runner.
+	lostRunner string
 	// avoidEndpoint is the minion where the task last failed, was stopped, or
 	// did not answer the start.
 	avoidEndpoint string
@@ -123,13 +130,13 @@
 	return float64(waits) / float64(all)
 }
 
-// find returns the placed task that a run at a runner belongs to, or nil.
+// find returns the task that a run at a connected runner belongs to, or nil.
 func (o *openJob) find(runner RunnerID, ref runtable.RunID) *task {
 	if int(ref.Step) >= len(o.tasks) || int(ref.Index) >= len(o.tasks[ref.Step]) {
 		return nil
 	}
 	t := &o.tasks[ref.Step][ref.Index]
-	if t.state != placed || t.runner != runner || t.run != ref.Run {
+	if !t.mayRunAt(runner) || t.run != ref.Run {
 		return nil
 	}
 	return t
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -60,6 +60,8 @@
 		if r == nil {
 			break
 		}
+		name := runtable.TaskID{Job: o.ID, Step: uint32(step), Index: uint32(i)}
+		d.recordLostRun(now, name, t)
 		d.assign(now, o, step, t, r)
 		t.mustHaveStartedAt = now.Add(wait + refusalLatency)
 		p := batches[r.id]
@@ -68,7 +70,6 @@
 			batches[r.id] = p
 			order = append(order, p)
 		}
-		name := runtable.TaskID{Job: o.ID, Step: uint32(step), Index: uint32(i)}
 		p.Runs = append(p.Runs, runtable.RunID{TaskID: name, Run: t.run})
 	}
 	for _, p := range order {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -110,7 +110,9 @@
 	Wait time.Duration
 }
 
-// Stop ends runs at a runner. Empty Runs means all runs of the job.
+// Stop ends runs at a runner. Empty Runs means all runs of the job. The runner
+// also reports the end of each run in Runs, if it was lost with an earlier
+// session.
 type Stop struct {
 	Runner RunnerID
 	Job    string
@@ -168,4 +170,6 @@
 	Placements []Placement
 	Stops      []Stop
 	Answers    []Answer
+	// LostRuns are the tasks of lost runs that Placements contains.
+	LostRuns []LostRun
 }
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -192,6 +192,9 @@
 func (l *loop) flush() {
 	out := l.core.TakeOutput()
 	now := boottime.Now()
+	for _, lost := range out.LostRuns {
+		l.logLostRun(lost)
+	}
 	for _, p := range out.Placements {
 		l.place(now, p)
 	}
@@ -205,6 +208,11 @@
 	l.p.checkStart()
 }
 
+func (l *loop) logLostRun(r dispatch.LostRun) {
+	l.p.opts.Log.Info("lost run placed again", "job", r.Earlier.Job, "step", r.Earlier.Step, "task", r.Earlier.Index, "run", r.Earlier.Run,
+		"runner", r.Runner, "since_ms", r.Since.Milliseconds(), "confirmed", r.Confirmed)
+}
+
 func (l *loop) place(now time.Duration, p dispatch.Placement) {
 	s := l.byID[p.Runner]
 	if s == nil {
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -184,7 +184,8 @@
 }
 
 // stopTasksReceived is the event of an order to stop tasks of a job. An order that
-// lists no tasks stops all tasks of the job.
+// lists no tasks stops all tasks of the job. One that lists runs also asks for
+// the end of each of them, since their dispatcher lost an earlier session.
 type stopTasksReceived struct {
 	session *wire.Session
 	stop    *wirepb.StopTasks
@@ -200,7 +201,8 @@
 		return
 	}
 	for _, t := range e.stop.Tasks {
-		l.table.Stop(now, d.owner, runtable.TaskID{Job: e.stop.Job, Step: e.stop.Step, Index: t.Index}, t.Run)
+		name := runtable.TaskID{Job: e.stop.Job, Step: e.stop.Step, Index: t.Index}
+		l.table.ConfirmEnd(now, d.owner, runtable.RunID{TaskID: name, Run: t.Run})
 	}
 }
 
--- a/internal/runner/session_test.go
+++ b/internal/runner/session_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	wirepb "endivewing/api/endivewing/v1"
 	"endivewing/internal/wire"
 )
 
@@ -50,3 +51,29 @@
 	b.placeTask("a", 0)
 	b.waitForMinion(func(running, _ int) bool { return running == 1 })
 }
+
+// askFor asks for the end of the first run of a job.
+func (b *fixture) askFor(job string) {
+	b.send(&wirepb.Envelope{Body: &wirepb.Envelope_StopTasks{StopTasks: &wirepb.StopTasks{Job: job, Tasks: []*wirepb.TaskRun{{Run: 1}}}}})
+}
+
+// TestEndOfALostRunIsReportedOnTheNextSession: a dispatcher that had lost its
+// session learned nothing of its runs, and counted them as over after 1.8 s.
+func TestEndOfALostRunIsReportedOnTheNextSession(t *testing.T) {
+	b := startFixture(t)
+	b.placeTask("a", 0)
+	b.waitForMinion(func(running, _ int) bool { return running == 1 })
+	b.connect()
+	b.askFor("a")
+	b.askFor("never placed")
+	ended := map[string]bool{}
+	b.waitForReport(func(r *wirepb.RunnerReport) bool {
+		running, _ := b.minion.count()
+		for _, e := range r.Ends {
+			assert.Equal(t, e.Outcome, wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
+			assert.Assert(t, e.Job != "a" || running == 0)
+			ended[e.Job] = true
+		}
+		return len(ended) == 2
+	})
+}
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -113,6 +113,7 @@
 func (t *Table) stopForeignRuns(foreign map[RunID]int) {
 	if len(foreign) == 0 {
 		t.foreignRunsGone = true
+		t.reportGone()
 		return
 	}
 	for ref := range foreign {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -60,8 +60,11 @@
 	// foreignRunsGone is set once a list of the minion's present incarnation
 	// contained no foreign runs.
 	foreignRunsGone bool
-	health          health
-	out             Output
+	// gone are the reports on runs that the table does not hold, which wait until
+	// the minion has no foreign runs.
+	gone   []End
+	health health
+	out    Output
 }
 
 // New returns the table of a runner whose minion is not known yet.
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -91,6 +91,7 @@
 	ReasonNoProgress      = "no_progress"
 	ReasonSlow            = "too_slow"
 	ReasonStale           = "order_too_old"
+	ReasonNotHere         = "not_here"
 )
 
 // End is the end of a run.
