Silence of a session is measured on a clock that never steps

What callers could see after a step of a host's clock: all sessions of its processes ended at once, with all runs stopped (step forward), or a peer that had gone away was not noticed and its runs went on for as long as the step (step back). After a step back a process also sent no heartbeats for that time, so its peers ended their sessions with it.

Cause: the times of the last received and the last sent bytes were kept as Unix nanoseconds and compared with the wall clock. They are now readings of the boot time clock, which also goes on during a suspension.

Found by reading. The clock can't be stepped in a test here; TestSilenceIsNotMeasuredOnTheWallClock checks which clock the times are from, and could not hold before. The two earlier tests of the detector use the new type of its arguments, with the same times and checks.

--- a/internal/wire/idle.go
+++ b/internal/wire/idle.go
@@ -1,6 +1,19 @@
 package wire
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+
+	"endivewing/internal/boottime"
+)
+
+// moment is a reading of the boot time clock, which never steps and goes on while
+// the host is suspended. It may be set and read concurrently.
+type moment struct{ reading atomic.Int64 }
+
+func (m *moment) setNow() { m.reading.Store(int64(boottime.Now())) }
+
+func (m *moment) get() time.Duration { return time.Duration(m.reading.Load()) }
 
 // processStart is a reference time that all sessions of the process share.
 var processStart = time.Now()
@@ -23,25 +36,31 @@
 	// ignoreStalls excludes periods in which this process had no processor
 	// time; see Options.IgnoreLocalStalls.
 	ignoreStalls bool
-	lastCheck    time.Time
+	lastCheck    time.Duration
 	// lastStall is the time of the last check that came late.
-	lastStall time.Time
+	lastStall time.Duration
 }
 
-func newIdleDetector(opts *Options, now time.Time) *idleDetector {
-	return &idleDetector{heartbeatInterval: opts.heartbeatInterval(), idleTimeout: opts.idleTimeout(), ignoreStalls: opts.IgnoreLocalStalls, lastCheck: now}
+func newIdleDetector(opts *Options, now time.Duration) *idleDetector {
+	return &idleDetector{
+		heartbeatInterval: opts.heartbeatInterval(),
+		idleTimeout:       opts.idleTimeout(),
+		ignoreStalls:      opts.IgnoreLocalStalls,
+		lastCheck:         now,
+		lastStall:         now - 2*opts.idleTimeout(), // none yet
+	}
 }
 
 // check is called once per heartbeat interval with the time at which bytes last
 // arrived from the peer. It returns the time since then and whether the session
 // must be closed.
-func (d *idleDetector) check(now, received time.Time) (silence time.Duration, expired bool) {
-	delay := now.Sub(d.lastCheck) - d.heartbeatInterval
+func (d *idleDetector) check(now, received time.Duration) (silence time.Duration, expired bool) {
+	delay := now - d.lastCheck - d.heartbeatInterval
 	d.lastCheck = now
 	if d.ignoreStalls && float64(delay) > maxTickDelayFraction*float64(d.heartbeatInterval) {
 		// Bytes that arrived during the stall may still wait in the kernel.
 		d.lastStall = now
 	}
-	silence = now.Sub(received)
-	return silence, silence > d.idleTimeout && now.Sub(d.lastStall) > d.idleTimeout
+	silence = now - received
+	return silence, silence > d.idleTimeout && now-d.lastStall > d.idleTimeout
 }
--- a/internal/wire/idle_test.go
+++ b/internal/wire/idle_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"endivewing/internal/boottime"
 )
 
 // TestLocalStallIsNotPeerSilence covers a process that had no processor time
@@ -12,8 +14,8 @@
 // the peer stays silent afterwards.
 func TestLocalStallIsNotPeerSilence(t *testing.T) {
 	opts := &Options{HeartbeatInterval: 500 * time.Millisecond, IdleTimeout: 1500 * time.Millisecond, IgnoreLocalStalls: true}
-	start := time.Unix(1000, 0)
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	start := 1000 * time.Second
+	at := func(ms int) time.Duration { return start + time.Duration(ms)*time.Millisecond }
 	d := newIdleDetector(opts, start)
 	for _, step := range []struct {
 		now     int
@@ -37,8 +39,20 @@
 // session ends.
 func TestLocalStallCountsAsSilenceByDefault(t *testing.T) {
 	opts := &Options{HeartbeatInterval: 200 * time.Millisecond, IdleTimeout: 800 * time.Millisecond}
-	start := time.Unix(1000, 0)
+	start := 1000 * time.Second
 	d := newIdleDetector(opts, start)
-	_, expired := d.check(start.Add(900*time.Millisecond), start)
+	_, expired := d.check(start+900*time.Millisecond, start)
 	assert.Assert(t, expired)
 }
+
+// TestSilenceIsNotMeasuredOnTheWallClock: a step of the host's clock ended all
+// sessions, or kept a process from sending heartbeats and from noticing silence.
+func TestSilenceIsNotMeasuredOnTheWallClock(t *testing.T) {
+	s := startSession(t, testOptions("c", echoJob), testOptions("c", ignore))
+	_, err := s.Call(t.Context(), LaneTraffic, jobRequest(1))
+	assert.NilError(t, err)
+	for _, m := range []*moment{&s.lastReceived, &s.lastSent} {
+		age := boottime.Now() - m.get()
+		assert.Assert(t, age >= 0 && age < time.Minute, "%v", age)
+	}
+}
--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -101,7 +100,7 @@
 	l.queue = nil
 	l.queuedBytes = 0
 	l.heartbeatPending = false
-	l.session.lastSent.Store(time.Now().UnixNano())
+	l.session.lastSent.setNow()
 	return batch, true
 }
 
@@ -208,7 +207,7 @@
 func (r *activityReader) Read(p []byte) (int, error) {
 	n, err := r.r.Read(p)
 	if n > 0 {
-		r.session.lastReceived.Store(time.Now().UnixNano())
+		r.session.lastReceived.setNow()
 	}
 	return n, err
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/boottime"
 )
 
 // Session is an established connection to one peer. It is safe for concurrent
@@ -25,12 +26,11 @@
 	// any more.
 	established atomic.Bool
 
-	// lastReceived is the time at which bytes last arrived from the peer, in
-	// Unix nanoseconds.
-	lastReceived atomic.Int64
-	// lastSent is the time of the last frame sent to the peer on any lane, in
-	// Unix nanoseconds.
-	lastSent atomic.Int64
+	// lastReceived is when bytes last arrived from the peer, on the boot time
+	// clock, which never steps.
+	lastReceived moment
+	// lastSent is when the last frame was sent to the peer on any lane.
+	lastSent moment
 
 	calls     callTable
 	closeOnce sync.Once
@@ -99,7 +99,7 @@
 		_ = mux.Close()
 		return nil, eris.Wrap(err, "clear handshake deadline")
 	}
-	s.lastReceived.Store(time.Now().UnixNano())
+	s.lastReceived.setNow()
 	s.established.Store(true)
 	return s, nil
 }
@@ -217,20 +217,20 @@
 func (s *Session) watchIdle() {
 	timer := time.NewTimer(untilNextTick(s.opts.heartbeatInterval()))
 	defer timer.Stop()
-	detector := newIdleDetector(&s.opts, time.Now())
+	detector := newIdleDetector(&s.opts, boottime.Now())
 	for {
 		select {
 		case <-s.done:
 			return
 		case <-timer.C:
-			now := time.Now()
-			if silence, expired := detector.check(now, time.Unix(0, s.lastReceived.Load())); expired {
+			now := boottime.Now()
+			if silence, expired := detector.check(now, s.lastReceived.get()); expired {
 				s.opts.Log.Info("session silent, closing", "peer", s.peer.GetName(), "silent_ms", silence.Milliseconds())
 				s.meter.dropped("silent_session")
 				s.Close()
 				return
 			}
-			if now.UnixNano()-s.lastSent.Load() >= int64(s.opts.heartbeatInterval()) {
+			if now-s.lastSent.get() >= s.opts.heartbeatInterval() {
 				s.lanes[LaneUrgent].enqueueHeartbeat()
 			}
 			timer.Reset(untilNextTick(s.opts.heartbeatInterval()))
