Bytes read after a stall don't prove that a peer is alive

What callers could see: a task at work twice. A runner that stood still while its dispatcher was cut off read, at the thaw, heartbeats from before the cut, and waited for the whole 0.8 s again. The sum is 0.9 s (as long as the lease holds), 0.8 s, 0.2 s until the check and the stop: more than the 1.8 s after which the dispatcher counted the runs as over, and more than the 1.3 s after which a caller sends its job again.

Bytes that are read in the first 50 ms after a stall may have arrived at any time during it. They now count as of the check before the stall; bytes read later count in full. Only checks that are late by more than a heartbeat interval count as stalls. Sessions with IgnoreLocalStalls (the dispatchers' side) behave as before.

The price: a process that stood still for 0.4 to 0.8 s may end a session whose peer is alive, if its next heartbeat does not come within 0.8 s of the last one known. Before, stalls above 0.8 s did that when the check ran before the read, by chance.

--- a/internal/wire/idle.go
+++ b/internal/wire/idle.go
@@ -30,6 +30,10 @@
 // processor time.
 const maxTickDelayFraction = 0.25
 
+// backlogReadTime is how long after a stall a read may still return bytes that
+// arrived during it.
+const backlogReadTime = 50 * time.Millisecond
+
 // idleDetector decides when the peer of a session counts as silent.
 type idleDetector struct {
 	heartbeatInterval, idleTimeout time.Duration
@@ -39,6 +43,12 @@
 	lastCheck    time.Duration
 	// lastStall is the time of the last check that came late.
 	lastStall time.Duration
+	// heardAt is the latest time at which the peer was certainly alive: bytes
+	// arrived then or later.
+	heardAt time.Duration
+	// backlogUntil is the end of the time in which bytes may be read that arrived
+	// during a stall.
+	backlogUntil time.Duration
 }
 
 func newIdleDetector(opts *Options, now time.Duration) *idleDetector {
@@ -48,16 +58,38 @@
 		ignoreStalls:      opts.IgnoreLocalStalls,
 		lastCheck:         now,
 		lastStall:         now - 2*opts.idleTimeout(), // none yet
+		heardAt:           now,
 	}
 }
 
-// check is called once per heartbeat interval with the time at which bytes last
-// arrived from the peer. It returns the time since then and whether the session
-// must be closed.
+// check is called once per heartbeat interval with the time at which bytes were
+// last read from the peer. It returns the time since the peer was certainly alive
+// and whether the session must be closed.
 func (d *idleDetector) check(now, received time.Duration) (silence time.Duration, expired bool) {
-	delay := now - d.lastCheck - d.heartbeatInterval
+	previous := d.lastCheck
+	delay := now - previous - d.heartbeatInterval
 	d.lastCheck = now
-	if d.ignoreStalls && float64(delay) > maxTickDelayFraction*float64(d.heartbeatInterval) {
+	if d.ignoreStalls {
+		return d.checkIgnoringStalls(now, received, delay)
+	}
+	stalled := delay > d.heartbeatInterval
+	if stalled {
+		received = min(received, previous)
+	}
+	if received > d.backlogUntil {
+		d.heardAt = max(d.heardAt, received)
+	}
+	if stalled {
+		d.backlogUntil = now + backlogReadTime
+	}
+	silence = now - d.heardAt
+	return silence, silence > d.idleTimeout
+}
+
+// checkIgnoringStalls is check for a session whose peer must be silent for the
+// whole timeout while this process runs.
+func (d *idleDetector) checkIgnoringStalls(now, received, delay time.Duration) (silence time.Duration, expired bool) {
+	if float64(delay) > maxTickDelayFraction*float64(d.heartbeatInterval) {
 		// Bytes that arrived during the stall may still wait in the kernel.
 		d.lastStall = now
 	}
--- a/internal/wire/idle_test.go
+++ b/internal/wire/idle_test.go
@@ -56,3 +56,32 @@
 		assert.Assert(t, age >= 0 && age < time.Minute, "%v", age)
 	}
 }
+
+// TestBytesReadAfterAStallProveNothing: a process that stood still read heartbeats
+// that its peer had sent before it was gone, and then waited for the whole
+// timeout again. Bytes that arrive after the stall count.
+func TestBytesReadAfterAStallProveNothing(t *testing.T) {
+	type check struct {
+		now, received int
+		expired       bool
+	}
+	cases := map[string][]check{
+		"long stall":       {{200, 190, false}, {1050, 1049, true}},
+		"short stall":      {{200, 190, false}, {700, 699, false}, {800, 701, false}, {1000, 701, false}, {1200, 701, true}},
+		"alive after it":   {{200, 190, false}, {700, 699, false}, {800, 790, false}, {1000, 790, false}, {1400, 1390, false}},
+		"two stalls":       {{200, 190, false}, {700, 699, false}, {1200, 1199, true}},
+		"late by a little": {{200, 190, false}, {500, 499, false}, {600, 499, false}, {1200, 499, false}},
+	}
+	for name, checks := range cases {
+		t.Run(name, func(t *testing.T) {
+			start := 1000 * time.Second
+			at := func(ms int) time.Duration { return start + time.Duration(ms)*time.Millisecond }
+			opts := &Options{HeartbeatInterval: 200 * time.Millisecond, IdleTimeout: 800 * time.Millisecond}
+			d := newIdleDetector(opts, start)
+			for _, c := range checks {
+				_, expired := d.check(at(c.now), at(c.received))
+				assert.Equal(t, expired, c.expired, "at %d ms", c.now)
+			}
+		})
+	}
+}
