Runs at a runner that stays away count as over after 2.8 s

What callers could see: a task at work twice, if their job's deadline is far enough away. With deadlines of 1.5 s the task of a lost run is not placed again either way.

Cause: 1.8 s was shorter than what it stands for. The model of TestALostRunHasEndedByTheTimeout has its parts in virtual time: bytes 0.5 s on their way over a congested link, read up to a check late (0.2 s), 0.8 s of silence, 0.2 s until the check, a runner that stands still right then for 0.9 s, as long as its lease holds, or a second stop 0.1 s after the first and 50 ms of the minion's. The longest sum is 2.56 s (the runner stands still at 1.51 s for 0.9 s).

Not in the sum: a minion that answers polls and not stops. Its runner goes on renewing the lease of all runs, so no time is long enough.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// lostRunTimeout is how long a run may still be active after the session
-	// with its runner was lost. Within this time the runner stops what a silent
-	// dispatcher ordered, or, if the runner itself is gone, the lease ends.
-	lostRunTimeout = 1800 * time.Millisecond
+	// LostRunTimeout is how long a run may still be active after the session
+	// with its runner was lost, if the runner does not come back. Within this
+	// time a runner that stands still at the worst moment notices the silence
+	// and stops the run, or the lease ends.
+	LostRunTimeout = 2800 * time.Millisecond
 	// runNumberIncrement is added to a run number when the minion has already
 	// seen that number or a higher one.
 	runNumberIncrement = 16
--- a/internal/dispatch/lost.go
+++ b/internal/dispatch/lost.go
@@ -17,7 +17,7 @@
 	// Since is the time from the loss until the task was placed again.
 	Since time.Duration
 	// Confirmed reports whether the runner has said that the run ended. If not,
-	// lostRunTimeout has passed.
+	// LostRunTimeout has passed.
 	Confirmed bool
 }
 
@@ -55,7 +55,7 @@
 		t.lostAt, t.lostRunner = now, r.Name
 	}
 	t.state = unresolved
-	t.mustHaveEndedAt = now.Add(lostRunTimeout)
+	t.mustHaveEndedAt = now.Add(LostRunTimeout)
 }
 
 // askForLostRuns asks a runner that is connected again to end the runs that were
