A job that waited in its connection during a pause is given up

What callers could see: a task at work twice, for some milliseconds. A dispatcher that stood still for longer than a caller waits read the request at the thaw and placed its tasks at once; that the caller was gone came to its notice a moment later. The caller had sent the job to another dispatcher meanwhile, whose runs were at work.

Cause: a pause ended the jobs from before it, but the first request read after it counted as new, whatever time it had waited in the socket, and its orders carried the time after the thaw, so runners did not refuse them.

For 100 ms after a pause that ends all jobs (0.9 s), a job is answered as given up, with nothing started. Its caller, if it is still there, may send it again.

Evidence: TestJobReadAfterAPauseOfTheProcess, failed before (the job was open).

--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -23,6 +23,11 @@
 		e.answer <- dispatch.Answer{Job: e.job, Result: dispatch.GivenUp, Reason: dispatch.ReasonDuplicate}
 		return
 	}
+	if l.readsBacklog() {
+		l.p.opts.Log.Info("job from before a pause given up", "job", e.job.ID, "queue", e.job.Queue)
+		e.answer <- dispatch.Answer{Job: e.job, Result: dispatch.GivenUp, Reason: dispatch.ReasonStalled}
+		return
+	}
 	l.callers[e.job.ID] = e.answer
 	l.core.Submit(now, e.job)
 }
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -26,6 +26,8 @@
 	byID     map[dispatch.RunnerID]*session
 	lastID   dispatch.RunnerID
 	lastTick time.Duration
+	// resumedAt is when the last pause of the process was noticed.
+	resumedAt time.Duration
 	// subsetSize is the number of runners that the dispatcher works with.
 	subsetSize int
 	// lastSurplusCheck is when sessions were last checked for surplus runners.
@@ -73,6 +75,8 @@
 		sessions: map[*wire.Session]*session{},
 		byID:     map[dispatch.RunnerID]*session{},
 		lastTick: boottime.Now(),
+		// A new process has no backlog.
+		resumedAt: boottime.Now() - 2*backlogReadTime,
 		metrics: loopMetrics{
 			scope:       p.opts.Scope,
 			tasksPlaced: p.opts.Scope.Counter("tasks_placed"),
@@ -158,10 +162,14 @@
 	if gap := now - l.lastTick; gap > stallTimeout {
 		l.p.opts.Log.Info("process stood still", "for", gap.String(), "jobs", l.core.Jobs())
 		l.core.AbortAll(time.Now())
-		l.lastTick = now
+		l.lastTick, l.resumedAt = now, now
 	}
 }
 
+// readsBacklog reports whether requests that are read now may be from before a
+// pause of the process. Their callers may have sent the jobs elsewhere since.
+func (l *loop) readsBacklog() bool { return boottime.Now()-l.resumedAt < backlogReadTime }
+
 // checkSurplus retires runners that the dispatcher no longer works with. They
 // get no more tasks, and the session is closed after the last of their tasks.
 func (l *loop) checkSurplus(now time.Time) {
--- a/internal/dispatcher/loop_test.go
+++ b/internal/dispatcher/loop_test.go
@@ -156,3 +156,32 @@
 	late.start = newStartGate(0)
 	late.AwaitStart(t.Context())
 }
+
+// TestJobReadAfterAPauseOfTheProcess: a request that had waited in its connection
+// while the process was suspended was run at once. Its caller had sent the job
+// to another dispatcher meanwhile.
+func TestJobReadAfterAPauseOfTheProcess(t *testing.T) {
+	l := testProcess("d").loop
+	now := time.Now()
+	capacity := runtable.Need{CPU: 4000, Memory: 100}
+	l.core.UpdateRunner(now, 1, dispatch.RunnerStatus{Service: "s", Endpoint: "i", Capacity: capacity, Free: capacity, Ready: true})
+	answer := make(chan dispatch.Answer, 2)
+	submit := func(id string) {
+		l.checkStall()
+		jobSubmitted{&dispatch.Job{
+			ID: id, Service: "s", Arrived: now, Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute),
+			Steps: []dispatch.Step{{Count: 1, Need: dispatch.Need{CPU: 1000}, Estimate: time.Second}},
+		}, answer}.handle(l, now)
+		l.flush()
+	}
+	l.lastTick = boottime.Now() - 2*stallTimeout
+	submit("old")
+	assert.Equal(t, l.core.Jobs(), 0)
+	a := <-answer
+	assert.Equal(t, a.Result, dispatch.GivenUp)
+	assert.Equal(t, a.Reason, dispatch.ReasonStalled)
+	l.resumedAt -= 2 * backlogReadTime
+	submit("new")
+	assert.Equal(t, l.core.Jobs(), 1)
+	assert.Equal(t, len(answer), 0)
+}
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -40,6 +40,9 @@
 	// the runners have stopped their tasks, and callers may have retried
 	// elsewhere.
 	stallTimeout = 900 * time.Millisecond
+	// backlogReadTime is how long after a pause of the process a request may be
+	// read that came before or during it.
+	backlogReadTime = 100 * time.Millisecond
 	// minRedialBackoff is the first pause between dials of a runner.
 	minRedialBackoff = 30 * time.Millisecond
 	// maxRedialBackoff is the longest pause between dials of a runner. A
