Silence of a peer is noticed when its timeout has passed

What callers could see: with little processor time at a runner, a task at work twice. A caller that lost its answer comes back after 1.3 s. Of that, the runner used 0.8 s of silence, up to 0.2 s until the next check, and 0.15 s for a stop of which the first call is lost.

Cause: silence was checked at fixed ticks only. The next check now comes at the moment at which the timeout passes, if that is before the tick. With the time gained the timeout of the sessions between dispatchers and runners grows from 0.8 to 0.85 s: a live peer gets 0.05 s more at least, and a lost one is noticed after 0.85 s instead of 0.8 to 1.0 s.

--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -18,7 +18,7 @@
 	// SessionIdleTimeout is how long a session with a dispatcher may be silent before it
 	// is closed. A caller that lost its reply may retry at another dispatcher
 	// 1.3 s later; the tasks of the silent dispatcher must have been stopped by then.
-	SessionIdleTimeout = 800 * time.Millisecond
+	SessionIdleTimeout = 850 * time.Millisecond
 
 	// leaseDuration is the lease that a call asks for. Minions grant at most 1 s.
 	leaseDuration = 900 * time.Millisecond
--- a/internal/wire/idle.go
+++ b/internal/wire/idle.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// check is called once per heartbeat interval with the time at which bytes were
+// check is called at least once per heartbeat interval with the time at which bytes were
 // last read from the peer. It returns the time since the peer was certainly alive
 // and whether the session must be closed.
 func (d *idleDetector) check(now, received time.Duration) (silence time.Duration, expired bool) {
@@ -86,6 +86,15 @@
 	return silence, silence > d.idleTimeout
 }
 
+// untilNextCheck returns the time until the next check: that until the next tick
+// or, if it comes before, the moment at which the timeout has passed.
+func (d *idleDetector) untilNextCheck(now, untilTick time.Duration) time.Duration {
+	if d.ignoreStalls {
+		return untilTick
+	}
+	return min(untilTick, d.heardAt+d.idleTimeout+time.Millisecond-now)
+}
+
 // checkIgnoringStalls is check for a session whose peer must be silent for the
 // whole timeout while this process runs.
 func (d *idleDetector) checkIgnoringStalls(now, received, delay time.Duration) (silence time.Duration, expired bool) {
--- a/internal/wire/idle_test.go
+++ b/internal/wire/idle_test.go
@@ -85,3 +85,16 @@
 		})
 	}
 }
+
+// TestSilenceIsNoticedWhenTheTimeoutHasPassed: silence was noticed at the next
+// tick only, up to a heartbeat interval late.
+func TestSilenceIsNoticedWhenTheTimeoutHasPassed(t *testing.T) {
+	const tick = 200 * time.Millisecond
+	d := newIdleDetector(&Options{HeartbeatInterval: tick, IdleTimeout: 800 * time.Millisecond}, 0)
+	_, expired := d.check(tick, 30*time.Millisecond)
+	assert.Assert(t, !expired)
+	assert.Equal(t, d.untilNextCheck(tick, tick), tick)
+	assert.Equal(t, d.untilNextCheck(4*tick, tick), 31*time.Millisecond)
+	_, expired = d.check(4*tick+31*time.Millisecond, 30*time.Millisecond)
+	assert.Assert(t, expired)
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -233,7 +233,7 @@
 			if now-s.lastSent.get() >= s.opts.heartbeatInterval() {
 				s.lanes[LaneUrgent].enqueueHeartbeat()
 			}
-			timer.Reset(untilNextTick(s.opts.heartbeatInterval()))
+			timer.Reset(detector.untilNextCheck(now, untilNextTick(s.opts.heartbeatInterval())))
 		}
 	}
 }
