--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// lostRunTimeout is how long a run may still be active after the session
-	// with its runner was lost. Within this time the runner stops what a silent
-	// dispatcher ordered, or, if the runner itself is gone, the lease ends.
-	lostRunTimeout = 1800 * time.Millisecond
+	// LostRunTimeout is how long a run may still be active after the session
+	// with its runner was lost, if the runner does not come back. Within this
+	// time a runner that stands still at the worst moment notices the silence
+	// and stops the run, or the lease ends.
+	LostRunTimeout = 2800 * time.Millisecond
 	// runNumberIncrement is added to a run number when the minion has already
 	// seen that number or a higher one.
 	runNumberIncrement = 16
@@ -107,13 +108,17 @@
 // is new.
 func (d *Dispatcher) UpdateRunner(now time.Time, id RunnerID, status RunnerStatus) {
 	r := d.runners[id]
-	if r == nil {
+	isNew := r == nil
+	if isNew {
 		r = &runner{id: id}
 		d.runners[id] = r
 		d.sortedRunners = append(d.sortedRunners, r)
 		slices.SortFunc(d.sortedRunners, func(a, b *runner) int { return int(a.id) - int(b.id) })
 	}
 	r.update(status)
+	if isNew {
+		d.askForLostRuns(r)
+	}
 	d.lastChange = now
 }
 
@@ -134,25 +139,6 @@
 	return 0
 }
 
-// RunnerLost handles the end of a runner's session. Its runs may still be
-// active for a while.
-func (d *Dispatcher) RunnerLost(now time.Time, id RunnerID) {
-	delete(d.runners, id)
-	d.sortedRunners = slices.DeleteFunc(d.sortedRunners, func(r *runner) bool { return r.id == id })
-	for _, key := range slices.Sorted(maps.Keys(d.jobs)) {
-		o := d.jobs[key]
-		for _, tasks := range o.tasks {
-			for i := range tasks {
-				if t := &tasks[i]; t.state == placed && t.runner == id {
-					t.state = unresolved
-					t.mustHaveEndedAt = now.Add(lostRunTimeout)
-					o.lost++
-				}
-			}
-		}
-	}
-}
-
 // RunEnded handles the end of a run. Ends of unknown runs only reduce the number
 // of outstanding tasks.
 func (d *Dispatcher) RunEnded(now time.Time, id RunnerID, e TaskEnd) {
@@ -167,6 +153,7 @@
 	if t == nil {
 		return
 	}
+	t.mustHaveEndedAt = time.Time{} // its runner knows
 	step := int(e.Step)
 	o.hasRun = o.hasRun || e.Outcome != runtable.NotRun
 	switch e.Outcome {
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -114,6 +114,7 @@
 	if len(foreign) == 0 {
 		t.foreignRunsGone = t.foreignRunsGone || !asked.Before(t.unknownSince)
 		t.out.ListNow = t.out.ListNow || !t.foreignRunsGone
+		t.reportGone()
 		return
 	}
 	for ref := range foreign {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -69,8 +69,11 @@
 	// lastChange is when a waiting run last may have become able to start. It is
 	// zero when nothing has changed since the last output.
 	lastChange time.Time
-	health     health
-	out        Output
+	// gone are the reports on runs that the table does not hold, which wait until
+	// the minion has no foreign runs.
+	gone   []End
+	health health
+	out    Output
 }
 
 // New returns the table of a runner whose minion is not known yet.
--- a/internal/wire/idle.go
+++ b/internal/wire/idle.go
@@ -1,6 +1,19 @@
 package wire
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+
+	"endivewing/internal/boottime"
+)
+
+// moment is a reading of the boot time clock, which never steps and goes on while
+// the host is suspended. It may be set and read concurrently.
+type moment struct{ reading atomic.Int64 }
+
+func (m *moment) setNow() { m.reading.Store(int64(boottime.Now())) }
+
+func (m *moment) get() time.Duration { return time.Duration(m.reading.Load()) }
 
 // processStart is a reference time that all sessions of the process share.
 var processStart = time.Now()
@@ -17,31 +30,78 @@
 // processor time.
 const maxTickDelayFraction = 0.25
 
+// backlogReadTime is how long after a stall a read may still return bytes that
+// arrived during it.
+const backlogReadTime = 50 * time.Millisecond
+
 // idleDetector decides when the peer of a session counts as silent.
 type idleDetector struct {
 	heartbeatInterval, idleTimeout time.Duration
 	// ignoreStalls excludes periods in which this process had no processor
 	// time; see Options.IgnoreLocalStalls.
 	ignoreStalls bool
-	lastCheck    time.Time
+	lastCheck    time.Duration
 	// lastStall is the time of the last check that came late.
-	lastStall time.Time
+	lastStall time.Duration
+	// heardAt is the latest time at which the peer was certainly alive: bytes
+	// arrived then or later.
+	heardAt time.Duration
+	// backlogUntil is the end of the time in which bytes may be read that arrived
+	// during a stall.
+	backlogUntil time.Duration
 }
 
-func newIdleDetector(opts *Options, now time.Time) *idleDetector {
-	return &idleDetector{heartbeatInterval: opts.heartbeatInterval(), idleTimeout: opts.idleTimeout(), ignoreStalls: opts.IgnoreLocalStalls, lastCheck: now}
+func newIdleDetector(opts *Options, now time.Duration) *idleDetector {
+	return &idleDetector{
+		heartbeatInterval: opts.heartbeatInterval(),
+		idleTimeout:       opts.idleTimeout(),
+		ignoreStalls:      opts.IgnoreLocalStalls,
+		lastCheck:         now,
+		lastStall:         now - 2*opts.idleTimeout(), // none yet
+		heardAt:           now,
+	}
 }
 
-// check is called once per heartbeat interval with the time at which bytes last
-// arrived from the peer. It returns the time since then and whether the session
-// must be closed.
-func (d *idleDetector) check(now, received time.Time) (silence time.Duration, expired bool) {
-	delay := now.Sub(d.lastCheck) - d.heartbeatInterval
+// check is called at least once per heartbeat interval with the time at which bytes were
+// last read from the peer. It returns the time since the peer was certainly alive
+// and whether the session must be closed.
+func (d *idleDetector) check(now, received time.Duration) (silence time.Duration, expired bool) {
+	previous := d.lastCheck
+	delay := now - previous - d.heartbeatInterval
 	d.lastCheck = now
-	if d.ignoreStalls && float64(delay) > maxTickDelayFraction*float64(d.heartbeatInterval) {
+	if d.ignoreStalls {
+		return d.checkIgnoringStalls(now, received, delay)
+	}
+	stalled := delay > d.heartbeatInterval
+	if stalled {
+		received = min(received, previous)
+	}
+	if received > d.backlogUntil {
+		d.heardAt = max(d.heardAt, received)
+	}
+	if stalled {
+		d.backlogUntil = now + backlogReadTime
+	}
+	silence = now - d.heardAt
+	return silence, silence > d.idleTimeout
+}
+
+// untilNextCheck returns the time until the next check: that until the next tick
+// or, if it comes before, the moment at which the timeout has passed.
+func (d *idleDetector) untilNextCheck(now, untilTick time.Duration) time.Duration {
+	if d.ignoreStalls {
+		return untilTick
+	}
+	return min(untilTick, d.heardAt+d.idleTimeout+time.Millisecond-now)
+}
+
+// checkIgnoringStalls is check for a session whose peer must be silent for the
+// whole timeout while this process runs.
+func (d *idleDetector) checkIgnoringStalls(now, received, delay time.Duration) (silence time.Duration, expired bool) {
+	if float64(delay) > maxTickDelayFraction*float64(d.heartbeatInterval) {
 		// Bytes that arrived during the stall may still wait in the kernel.
 		d.lastStall = now
 	}
-	silence = now.Sub(received)
-	return silence, silence > d.idleTimeout && now.Sub(d.lastStall) > d.idleTimeout
+	silence = now - received
+	return silence, silence > d.idleTimeout && now-d.lastStall > d.idleTimeout
 }
