Runner: a list that was requested before a stop's answer proves nothing, also within one instant

What callers could see: a run reported as not run although it was at work.

Cause: the table compares the time at which a list was requested with the time at which a stop or start was answered. Two inputs handled in the same instant had the same time, so a list that was requested and taken before the stop counted as taken after it.

Now the loop's clock gives each input a later time than the one before, and the table's package comment requires it. Ticks use the same clock; the time at which the timer fired could lie before inputs that were already handled.

--- /dev/null
+++ b/internal/runner/held_test.go
@@ -0,0 +1,125 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"endivewing/internal/runtable"
+)
+
+// heldCall is a call that waits at a heldMinion for its answer.
+type heldCall[C, A any] struct {
+	call   C
+	answer chan A
+}
+
+// heldMinion answers no call before the test does.
+type heldMinion struct {
+	mu     sync.Mutex
+	starts []heldCall[StartCall, Answer]
+	stops  []heldCall[StopCall, Answer]
+	polls  []heldCall[PollCall, PollAnswer]
+}
+
+func hold[C, A any](ctx context.Context, m *heldMinion, calls *[]heldCall[C, A], c C) (A, error) {
+	held := heldCall[C, A]{c, make(chan A, 1)}
+	m.mu.Lock()
+	*calls = append(*calls, held)
+	m.mu.Unlock()
+	select {
+	case a := <-held.answer:
+		return a, nil
+	case <-ctx.Done():
+		var none A
+		return none, ctx.Err()
+	}
+}
+
+func (m *heldMinion) Start(ctx context.Context, c StartCall) (Answer, error) {
+	return hold(ctx, m, &m.starts, c)
+}
+
+func (m *heldMinion) Stop(ctx context.Context, c StopCall) (Answer, error) {
+	return hold(ctx, m, &m.stops, c)
+}
+
+func (m *heldMinion) Poll(ctx context.Context, c PollCall) (PollAnswer, error) {
+	return hold(ctx, m, &m.polls, c)
+}
+
+// take removes and returns the oldest call. Calls that timed out are among them.
+func take[C, A any](t *testing.T, calls *[]heldCall[C, A]) heldCall[C, A] {
+	t.Helper()
+	assert.Assert(t, len(*calls) > 0)
+	first := (*calls)[0]
+	*calls = (*calls)[1:]
+	return first
+}
+
+// steppedLoop is a loop in virtual time whose events are handled when the test says so.
+type steppedLoop struct {
+	*loop
+	t      *testing.T
+	minion *heldMinion
+}
+
+// newSteppedLoop returns a loop whose minion has reported, and answered that
+// nothing runs. It is used within a synctest bubble.
+func newSteppedLoop(t *testing.T) *steppedLoop {
+	t.Helper()
+	t.Cleanup(func() { time.Sleep(time.Second) }) // the last calls time out
+	minion := &heldMinion{}
+	p := &Process{
+		opts:   Options{Minion: minion, Log: logr.Discard(), Scope: tally.NoopScope},
+		events: make(chan event, eventQueueLength), quit: make(chan struct{}), ended: make(chan struct{}),
+	}
+	report := Report{
+		Endpoint: "i-1", Service: "s", StartedUnixMs: 10, Sequence: 1, Clock: 1000, Capacity: runtable.Need{CPU: 4000, Memory: 100},
+	}
+	p.minion.Store(minionRecord(&report)) // nothing is left to announce
+	s := &steppedLoop{loop: newLoop(p), t: t, minion: minion}
+	s.beginIncarnation(s.clock.now(), report)
+	s.step()
+	s.answerPolls(1000)
+	assert.Assert(t, s.table.Ready())
+	return s
+}
+
+// step handles the events that have arrived and sends what follows from them.
+func (s *steppedLoop) step() {
+	synctest.Wait()
+	s.handleQueued()
+	s.flush(s.clock.now())
+	synctest.Wait()
+}
+
+// answerPolls answers the polls that have come in with the given lists.
+func (s *steppedLoop) answerPolls(clock int64, running ...runtable.RunID) {
+	lists := PollAnswer{Answer: Answer{Status: Accepted, Clock: clock}, StartedUnixMs: 10}
+	for _, ref := range running {
+		lists.Running = append(lists.Running, runtable.RunningRow{RunID: ref, Percent: 1})
+	}
+	for _, held := range s.minion.polls {
+		held.answer <- lists
+	}
+	s.minion.polls = nil
+	s.step()
+}
+
+// place orders a run for owner 1 and has its start sent.
+func (s *steppedLoop) place(job string) runtable.RunID {
+	o := runtable.Order{
+		TaskID: runtable.TaskID{Job: job}, Run: 1, Owner: 1, Need: runtable.Need{CPU: 1000}, Estimate: time.Hour,
+		Expires: time.Now().Add(time.Hour),
+	}
+	s.table.Place(s.clock.now(), o)
+	s.step()
+	return runtable.RunID{TaskID: o.TaskID, Run: o.Run}
+}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -22,6 +22,7 @@
 	incarnation incarnation
 	lease       lease
 	fence       uint64
+	clock       increasingClock
 
 	dispatchers map[*wire.Session]*dispatcher
 	byOwner     map[runtable.Owner]*dispatcher
@@ -142,16 +143,16 @@
 	for {
 		select {
 		case e := <-l.p.events:
-			e.handle(l, time.Now())
+			e.handle(l, l.clock.now())
 			l.handleQueued()
 		case now := <-timer.C:
 			l.recordStall(time.Since(now))
-			l.tick(now)
+			l.tick(l.clock.now())
 			ticked = now
 		case <-l.p.quit:
 			return
 		}
-		l.flush(time.Now())
+		l.flush(l.clock.now())
 		timer.Reset(time.Until(ticked.Add(l.nextTickInterval())))
 	}
 }
@@ -176,7 +177,7 @@
 	for range eventQueueLength {
 		select {
 		case e := <-l.p.events:
-			e.handle(l, time.Now())
+			e.handle(l, l.clock.now())
 		default:
 			return
 		}
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -1,7 +1,9 @@
 // Package runtable holds a runner's decisions: which tasks start at its minion
 // and when, how much capacity is free, and how each run ended. The package is
 // pure: times come in as arguments, and TakeOutput returns the calls to the minion
-// and the reports to dispatchers.
+// and the reports to dispatchers. The time of each input is later than that of the
+// input before, so that times tell whether a list was requested before or after an
+// answer came.
 package runtable
 
 import "time"
