Runner: a full list of ends proves no end, and a waiting run never hides a foreign one

What callers could see: a run that ended done was reported as stopped and run again, when more than 500 ends had gathered while the minion was not heard. The proof of a run that a list lacks is that its end is listed or was applied; a full list may lack it. Now a full list proves nothing of the runs that it lacks, and the next list is asked for at once.

A run of the list with the name and number of an order that still waits was taken as known and left at work. It was never sent from here, so it now counts as foreign and is stopped.

--- a/internal/runtable/ends_test.go
+++ b/internal/runtable/ends_test.go
@@ -79,3 +79,45 @@
 	assert.Equal(t, len(out.Ends), 1)
 	assert.Equal(t, out.Ends[0].Outcome, NotRun)
 }
+
+// endsOfOthers returns the rows of ended runs that the table does not know.
+func endsOfOthers(first, count uint64) []EndedRow {
+	var rows []EndedRow
+	for number := first; number < first+count; number++ {
+		rows = append(rows, EndedRow{RunID: RunID{name("other", uint32(number)), 1}, Number: number, Outcome: Done})
+	}
+	return rows
+}
+
+// TestEndBeyondAFullListIsNotGuessed: a full list of ends may lack the end of a run,
+// which the next list contains.
+func TestEndBeyondAFullListIsNotGuessed(t *testing.T) {
+	tab := table(t)
+	runs, stopped := order("a", 0, 1000), order("b", 0, 1000)
+	started(t, tab, at(1), runs)
+	started(t, tab, at(2), stopped)
+	tab.Stop(at(3), stopped.Owner, stopped.TaskID, stopped.Run)
+	tab.StopAnswered(at(4), ref(stopped))
+	tab.TakeOutput()
+	tab.ApplyListing(at(6), Listing{SentAt: at(5), Ended: endsOfOthers(1, maxListedEnds)})
+	out := tab.TakeOutput()
+	assert.Equal(t, len(out.Ends), 0)
+	assert.Assert(t, out.ListNow)
+	tab.ApplyListing(at(8), Listing{SentAt: at(7), Ended: []EndedRow{
+		{RunID: ref(runs), Number: maxListedEnds + 1, Outcome: Done}, {RunID: ref(stopped), Number: maxListedEnds + 2, Outcome: Done},
+	}})
+	ends := tab.TakeOutput().Ends
+	assert.Equal(t, len(ends), 2)
+	assert.Equal(t, ends[0].Outcome, Done)
+	assert.Equal(t, ends[1].Outcome, Done)
+}
+
+// TestWaitingRunThatIsAtWorkIsForeign: a list contains a run of the same task and
+// number as one that waits here and was never sent.
+func TestWaitingRunThatIsAtWorkIsForeign(t *testing.T) {
+	tab, active, waits := fullTable(t)
+	tab.ApplyListing(at(4), Listing{SentAt: at(3), Running: []RunningRow{{RunID: ref(active)}, {RunID: ref(waits)}}})
+	out := tab.TakeOutput()
+	assert.DeepEqual(t, out.Unknown, []RunID{ref(waits)})
+	assert.DeepEqual(t, out.Stops, []RunID{ref(waits)})
+}
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -98,12 +98,18 @@
 		listed[row.RunID] = row.Percent
 	}
 	for _, r := range t.sortedRuns() {
-		percent, active := listed[RunID{r.TaskID, r.Run}]
-		delete(listed, RunID{r.TaskID, r.Run})
-		if r.state != waiting {
-			t.checkAgainstList(now, r, l.SentAt, percent, active)
+		if r.state == waiting { // never sent, so one of the same name is foreign
+			continue
 		}
+		name := RunID{r.TaskID, r.Run}
+		if percent, active := listed[name]; active {
+			t.confirmActive(now, r, percent)
+		} else if !l.full() {
+			t.checkMissing(now, r, l.SentAt)
+		}
+		delete(listed, name)
 	}
+	t.out.ListNow = t.out.ListNow || l.full()
 	t.stopForeignRuns(l.SentAt, listed)
 	t.lastChange = now
 }
@@ -144,17 +150,19 @@
 	t.finish(now, r, row.Outcome, reason)
 }
 
-// checkAgainstList compares a run with a list whose request was sent at the
-// time asked.
-func (t *Table) checkAgainstList(now time.Time, r *run, asked time.Time, percent int, active bool) {
-	if active {
-		r.listed = true
-		if r.state == starting { // the answer to its start is late or lost
-			r.state, r.startAnsweredAt = running, now
-		}
-		t.checkProgress(now, r, percent)
-		return
+// confirmActive handles a run that a list contains as active.
+func (t *Table) confirmActive(now time.Time, r *run, percent int) {
+	r.listed = true
+	if r.state == starting { // the answer to its start is late or lost
+		r.state, r.startAnsweredAt = running, now
 	}
+	t.checkProgress(now, r, percent)
+}
+
+// checkMissing handles a run that a list contains neither as active nor as ended.
+// The run is over if the list was requested after the minion had answered its stop or
+// its start.
+func (t *Table) checkMissing(now time.Time, r *run, asked time.Time) {
 	stopEffective := r.state == stopping && !r.stopAnsweredAt.IsZero() && !asked.Before(r.stopAnsweredAt)
 	switch {
 	case stopEffective && !r.listed && r.startAnsweredAt.IsZero():
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -122,6 +122,12 @@
 	Ended []EndedRow
 }
 
+// maxListedEnds is the number of ends that one list holds at most.
+const maxListedEnds = 500
+
+// full reports whether there may be more ends than the list holds.
+func (l *Listing) full() bool { return len(l.Ended) >= maxListedEnds }
+
 // RunningRow is one active run.
 type RunningRow struct {
 	RunID
