Runner: time in which the runner stood still does not count as passed on the minion's clock

What callers could see: runs reported as over (lease_lapsed) that go on at the minion, and second runs elsewhere, after a host was suspended or a process stood still.

Cause: the runner estimates the minion's clock from its own. A minion's clock may not count the time in which its host was suspended, so a lease that the runner believed to be over could have most of its time left. Believing a lease to go on is safe, believing it over is not.

Now each tick counts at most 250 ms as passed.

The other directions, by reading: a reading that was handled late or overtaken by a newer one gives a smaller bound, so the lease ends later and renewals are shorter, both safe; a stale reading makes the minion reachable, but starts sent with it carry a deadline that has passed and are rejected as late.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -3,12 +3,17 @@
 import "time"
 
 // lease holds what the runner knows of the minion's clock and of the lease on
-// that clock.
+// that clock. A lease that is believed to go on is safe, one that is believed to be
+// over is not, so each value is a lower bound of the minion's clock.
 type lease struct {
 	// clock is the last reading of the minion's clock, in milliseconds. It was
 	// taken at recordedAt or before.
 	clock      int64
 	recordedAt time.Time
+	// passed is the time from recordedAt to observedAt that certainly passed at the
+	// minion, too.
+	passed     time.Duration
+	observedAt time.Time
 	// latestDeadline is the latest deadline that a call has carried, in
 	// milliseconds on the minion's clock.
 	latestDeadline int64
@@ -21,6 +26,18 @@
 		return
 	}
 	s.clock, s.recordedAt = clock, now
+	s.passed, s.observedAt = 0, now
+}
+
+// observe counts the time since it was called last, at most maxObservedStep: while this
+// process stood still, so may have the minion's clock, with a host that was suspended.
+func (s *lease) observe(now time.Time) {
+	s.passed = s.passedUntil(now)
+	s.observedAt = now
+}
+
+func (s *lease) passedUntil(now time.Time) time.Duration {
+	return s.passed + min(now.Sub(s.observedAt), maxObservedStep)
 }
 
 // reset clears the lease when a new incarnation of the minion begins.
@@ -29,7 +46,7 @@
 // minClock returns a lower bound of the present reading of the minion's clock,
 // in milliseconds.
 func (s *lease) minClock(now time.Time) int64 {
-	return s.clock + int64(float64(now.Sub(s.recordedAt).Milliseconds())*minClockRate)
+	return s.clock + int64(float64(s.passedUntil(now).Milliseconds())*minClockRate)
 }
 
 // reachable reports whether a reading of the minion's clock arrived within
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -195,6 +195,7 @@
 }
 
 func (l *loop) tick(now time.Time) {
+	l.lease.observe(now)
 	if l.lease.expired(now) && l.table.Running() > 0 {
 		l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
 		l.table.LeaseExpired(now)
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -45,6 +45,9 @@
 	// minClockRate is the lowest rate of a minion's clock, relative to the local
 	// clock.
 	minClockRate = 0.98
+	// maxObservedStep is the most time between two ticks that counts as passed at the
+	// minion. It outlasts two of the longest tick intervals.
+	maxObservedStep = 250 * time.Millisecond
 
 	// maxOrderAge is the age above which an order is refused. Such an order was
 	// delayed, and its task may have been assigned to another runner since.
