Runner: answers that wait in the queue are handled before the lease is judged

What callers saw: tasks that ended done were run again.

Cause: a tick judged the lease before the events that had come in while the runner stood still. The runs were ended as stopped (lease_lapsed), and the answer that said done came to a table that did not know them any more.

Now a tick handles the queued events first.

Evidence: TestEndThatWaitsInTheQueueIsNotTurnedIntoAStop (virtual time) sees STOPPED instead of DONE without it.

--- a/internal/runner/held_test.go
+++ b/internal/runner/held_test.go
@@ -68,6 +68,10 @@
 	*loop
 	t      *testing.T
 	minion *heldMinion
+	// dispatcher is owner 1 and collects the ends of its runs.
+	dispatcher *dispatcher
+	// began is when the minion's clock was at 1000.
+	began time.Time
 }
 
 // newSteppedLoop returns a loop whose minion has reported, and answered that
@@ -84,7 +88,8 @@
 		Endpoint: "i-1", Service: "s", StartedUnixMs: 10, Sequence: 1, Clock: 1000, Capacity: runtable.Need{CPU: 4000, Memory: 100},
 	}
 	p.minion.Store(minionRecord(&report)) // nothing is left to announce
-	s := &steppedLoop{loop: newLoop(p), t: t, minion: minion}
+	s := &steppedLoop{loop: newLoop(p), t: t, minion: minion, dispatcher: &dispatcher{owner: 1}, began: time.Now()}
+	s.byOwner[1] = s.dispatcher
 	s.beginIncarnation(s.clock.now(), report)
 	s.step()
 	s.answerPolls(1000)
@@ -100,6 +105,27 @@
 	synctest.Wait()
 }
 
+// tickFor performs ticks for a time. Calls that came in before are not answered.
+func (s *steppedLoop) tickFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(runningTickInterval)
+		s.handleTimer(time.Now())
+		s.step()
+	}
+}
+
+// start orders a run and has the minion accept it.
+func (s *steppedLoop) start(job string) runtable.RunID {
+	ref := s.place(job)
+	held := s.minion.starts[len(s.minion.starts)-1]
+	held.answer <- Answer{Status: Accepted, Clock: s.minionClock()}
+	s.step()
+	return ref
+}
+
+// minionClock is the reading of a clock that goes like the runner's.
+func (s *steppedLoop) minionClock() int64 { return 1000 + time.Since(s.began).Milliseconds() }
+
 // answerPolls answers the polls that have come in with the given lists.
 func (s *steppedLoop) answerPolls(clock int64, running ...runtable.RunID) {
 	lists := PollAnswer{Answer: Answer{Status: Accepted, Clock: clock}, StartedUnixMs: 10}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -145,10 +145,9 @@
 		case e := <-l.p.events:
 			e.handle(l, l.clock.now())
 			l.handleQueued()
-		case now := <-timer.C:
-			l.recordStall(time.Since(now))
-			l.tick(l.clock.now())
-			ticked = now
+		case fired := <-timer.C:
+			l.handleTimer(fired)
+			ticked = fired
 		case <-l.p.quit:
 			return
 		}
@@ -184,6 +183,14 @@
 	}
 }
 
+// handleTimer handles a tick that was due at the given time. The queued events come
+// first: after a standstill, answers of the minion say how runs ended.
+func (l *loop) handleTimer(due time.Time) {
+	l.recordStall(time.Since(due))
+	l.handleQueued()
+	l.tick(l.clock.now())
+}
+
 // recordStall logs that the loop handled a tick late, since the process had no
 // processor time or was suspended.
 func (l *loop) recordStall(late time.Duration) {
--- /dev/null
+++ b/internal/runner/standstill_test.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/runtable"
+)
+
+// doneList is a list of a minion at which one run has ended as done.
+func (s *steppedLoop) doneList(ref runtable.RunID) PollAnswer {
+	return PollAnswer{
+		Answer: Answer{Status: Accepted, Clock: s.minionClock()}, StartedUnixMs: 10,
+		Ended: []runtable.EndedRow{{RunID: ref, Number: 1, Outcome: runtable.Done}},
+	}
+}
+
+// onlyOutcome returns the outcome of the only run that was reported as ended.
+func (s *steppedLoop) onlyOutcome() wirepb.RunOutcome {
+	s.t.Helper()
+	assert.Equal(s.t, len(s.dispatcher.ends), 1)
+	return s.dispatcher.ends[0].Outcome
+}
+
+// TestEndThatWaitsInTheQueueIsNotTurnedIntoAStop: the lease is over when the runner
+// wakes up, but the answer that says how the run ended came before.
+func TestEndThatWaitsInTheQueueIsNotTurnedIntoAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSteppedLoop(t)
+		ref := s.start("a")
+		s.tickFor(leaseDuration) // the minion answers nothing
+		list := s.minion.polls[len(s.minion.polls)-1]
+		list.answer <- s.doneList(ref)
+		synctest.Wait()
+		for !s.lease.expired(time.Now()) { // the process stands still for moments
+			time.Sleep(runningTickInterval)
+			s.lease.observe(time.Now())
+		}
+		s.handleTimer(time.Now())
+		s.step()
+		assert.Equal(t, s.onlyOutcome(), wirepb.RunOutcome_RUN_OUTCOME_DONE)
+	})
+}
