Runner: when a lease turns out to be over, the minion's list says first how its runs ended

What callers saw: after a standstill of the runner, tasks that ended done were run again.

Cause: the first answer after a standstill, for instance to a start, carries a reading of the minion's clock that is beyond the lease. The next tick ended all runs as stopped, while the list that says how each ended was a millisecond away.

Now, while the minion can be reached, a poll that renews nothing is sent first, nothing starts meanwhile, and the runs end as stopped only if no list says otherwise within 80 ms. A minion that can't be reached is judged as before.

Evidence: TestListSaysHowRunsOfAnEndedLeaseEnded fails before (the run is already ended when the list comes); TestRunsOfAnEndedLeaseEndWithoutAList bounds the wait.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -63,7 +63,7 @@
 func (l *loop) sendPoll(now time.Time, wait time.Duration, longPoll bool) {
 	l.metrics.polls.Inc(1)
 	c := PollCall{Endpoint: l.incarnation.Endpoint, Fence: l.fence, AckedEnd: l.table.Acked(), Wait: wait}
-	if l.table.Running() > 0 && l.lease.reachable(now) {
+	if l.table.Running() > 0 && l.lease.reachable(now) && l.leaseOverSince.IsZero() {
 		c.Deadline = l.lease.extend(now)
 	}
 	born := l.incarnation.StartedUnixMs
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -21,8 +21,11 @@
 	table       *runtable.Table
 	incarnation incarnation
 	lease       lease
-	fence       uint64
-	clock       increasingClock
+	// leaseOverSince is when the lease of runs that have not ended was found to be
+	// over; zero while it goes on.
+	leaseOverSince time.Time
+	fence          uint64
+	clock          increasingClock
 
 	dispatchers map[*wire.Session]*dispatcher
 	byOwner     map[runtable.Owner]*dispatcher
@@ -203,14 +206,29 @@
 
 func (l *loop) tick(now time.Time) {
 	l.lease.observe(now)
-	if l.lease.expired(now) && l.table.Running() > 0 {
-		l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
-		l.table.LeaseExpired(now)
-	}
+	l.checkLease(now)
 	l.table.Tick(now)
 	l.updateReadiness(now)
 }
 
+// checkLease ends the runs of a lease that is over. A minion that can be asked says
+// first how they ended.
+func (l *loop) checkLease(now time.Time) {
+	if l.table.Running() == 0 || !l.lease.expired(now) {
+		l.leaseOverSince = time.Time{}
+		return
+	}
+	if l.leaseOverSince.IsZero() {
+		l.leaseOverSince = now
+		l.table.RequireList(now)
+	}
+	if l.lease.reachable(now) && now.Sub(l.leaseOverSince) < listTimeout {
+		return
+	}
+	l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
+	l.table.LeaseExpired(now)
+}
+
 // updateReadiness passes the minion's capacity to the table, and whether new
 // tasks may start.
 func (l *loop) updateReadiness(now time.Time) {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -42,6 +42,9 @@
 	// unreachableTimeout is how long all calls may stay unanswered before no more
 	// starts are sent and the lease is left to expire.
 	unreachableTimeout = 600 * time.Millisecond
+	// listTimeout is how long the minion's list may take to say how the runs of a lease
+	// that is over have ended. It outlasts one poll.
+	listTimeout = 80 * time.Millisecond
 	// minClockRate is the lowest rate of a minion's clock, relative to the local
 	// clock.
 	minClockRate = 0.98
--- a/internal/runner/standstill_test.go
+++ b/internal/runner/standstill_test.go
@@ -45,3 +45,48 @@
 		assert.Equal(t, s.onlyOutcome(), wirepb.RunOutcome_RUN_OUTCOME_DONE)
 	})
 }
+
+// wakeAfterStandstill lets a run's lease pass while the runner stands still. A start
+// answers first, whose reading of the clock shows that the lease is over.
+func (s *steppedLoop) wakeAfterStandstill() runtable.RunID {
+	ref := s.start("a")
+	other := s.place("b")
+	assert.Assert(s.t, other != ref)
+	time.Sleep(callTimeout / 2)
+	s.handleTimer(time.Now())
+	s.began = s.began.Add(-2 * leaseDuration) // the minion's clock goes on
+	s.minion.starts[len(s.minion.starts)-1].answer <- Answer{Status: DeadlinePassed, Clock: s.minionClock()}
+	s.minion.polls = nil
+	s.step()
+	assert.Assert(s.t, s.lease.expired(time.Now()))
+	s.handleTimer(time.Now())
+	s.step()
+	return ref
+}
+
+// TestListSaysHowRunsOfAnEndedLeaseEnded: a reading shows that the lease is over, and
+// the minion can be asked, so its list decides.
+func TestListSaysHowRunsOfAnEndedLeaseEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSteppedLoop(t)
+		ref := s.wakeAfterStandstill()
+		s.dispatcher.ends = nil // that of the start that was refused
+		assert.Equal(t, s.table.OpenRuns(), 1)
+		list := take(t, &s.minion.polls)
+		list.answer <- s.doneList(ref)
+		s.step()
+		assert.Equal(t, s.onlyOutcome(), wirepb.RunOutcome_RUN_OUTCOME_DONE)
+	})
+}
+
+// TestRunsOfAnEndedLeaseEndWithoutAList: the minion answers no more polls.
+func TestRunsOfAnEndedLeaseEndWithoutAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSteppedLoop(t)
+		s.wakeAfterStandstill()
+		s.dispatcher.ends = nil
+		assert.Equal(t, s.table.OpenRuns(), 1)
+		s.tickFor(listTimeout + runningTickInterval)
+		assert.Equal(t, s.onlyOutcome(), wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
+	})
+}
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -114,12 +114,12 @@
 	t.acked = 0
 	t.health = health{}
 	t.out.Stops = nil // they are meant for the earlier incarnation
-	t.requireList(now)
+	t.RequireList(now)
 }
 
-// requireList lets nothing start until a list that is requested from now on shows
+// RequireList lets nothing start until a list that is requested from now on shows
 // what runs at the minion.
-func (t *Table) requireList(now time.Time) {
+func (t *Table) RequireList(now time.Time) {
 	t.foreignRunsGone = false
 	t.unknownSince = now
 	t.out.ListNow = true
@@ -133,7 +133,7 @@
 			t.finish(now, r, Stopped, ReasonLeaseExpired)
 		}
 	}
-	t.requireList(now)
+	t.RequireList(now)
 }
 
 // UpdateMinion sets the capacity of the minion, and whether it accepts new work.
