Wire: the silence of a peer is measured on the boot time clock

Cause: a session kept the time of the last received bytes, and of the last sent frame, in Unix nanoseconds, and compared it with the wall clock.

Now both are kept on the boot time clock, which neither steps nor stands still while the host is suspended.

--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -98,7 +97,7 @@
 	l.queue = nil
 	l.queuedBytes = 0
 	l.heartbeatPending = false
-	l.session.lastSent.Store(time.Now().UnixNano())
+	l.session.sent.record()
 	return batch, true
 }
 
@@ -204,7 +203,7 @@
 func (r *activityReader) Read(p []byte) (int, error) {
 	n, err := r.r.Read(p)
 	if n > 0 {
-		r.session.lastReceived.Store(time.Now().UnixNano())
+		r.session.received.record()
 	}
 	return n, err
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -25,12 +25,10 @@
 	// any more.
 	established atomic.Bool
 
-	// lastReceived is the time at which bytes last arrived from the peer, in
-	// Unix nanoseconds.
-	lastReceived atomic.Int64
-	// lastSent is the time of the last frame sent to the peer on any lane, in
-	// Unix nanoseconds.
-	lastSent atomic.Int64
+	// received is when bytes last arrived from the peer.
+	received activity
+	// sent is when a frame was last sent to the peer on any lane.
+	sent activity
 
 	calls     callTable
 	closeOnce sync.Once
@@ -94,7 +92,7 @@
 		_ = mux.Close()
 		return nil, eris.Wrap(err, "clear handshake deadline")
 	}
-	s.lastReceived.Store(time.Now().UnixNano())
+	s.received.record()
 	s.established.Store(true)
 	return s, nil
 }
@@ -166,6 +164,9 @@
 	})
 }
 
+// Silence returns the time since bytes last arrived from the peer.
+func (s *Session) Silence() time.Duration { return s.received.age() }
+
 // deliver passes a received message to the call that waits for it, or to the
 // handler.
 func (s *Session) deliver(e *wirepb.Envelope) {
@@ -190,13 +191,13 @@
 			return
 		case <-timer.C:
 			now := time.Now()
-			if silence, expired := detector.check(now, time.Unix(0, s.lastReceived.Load())); expired {
+			if silence, expired := detector.check(now, now.Add(-s.Silence())); expired {
 				s.opts.Log.Info("session silent, closing", "peer", s.peer.GetName(), "silent_ms", silence.Milliseconds())
 				s.meter.dropped("silent_session")
 				s.Close()
 				return
 			}
-			if now.UnixNano()-s.lastSent.Load() >= int64(s.opts.heartbeatInterval()) {
+			if s.sent.age() >= s.opts.heartbeatInterval() {
 				s.lanes[LaneUrgent].enqueueHeartbeat()
 			}
 			timer.Reset(untilNextTick(s.opts.heartbeatInterval()))
