Runner: a run is over 1.3 s after its dispatcher's last word, also when no stop reaches the minion

What callers could see: a run of a silent dispatcher goes on while its caller, back after 1.3 s, has it run elsewhere.

Cause: the runner relied on the stop alone. While stops go unanswered, polls renewed the one lease that holds for all runs, those to be stopped included, without end.

Now a call renews the lease at most until 1.25 s after the last word of each dispatcher that has runs at the minion (1.3 s on a clock that is 2% slow), and until 0.9 s after the request of each stop that has had no effect.

Weighed: the lease of other dispatchers' runs is shortened as well, since a minion has one lease. A dispatcher that is heard every 0.2 s shortens nothing (limit 1.05 s, lease 0.9 s); one that is silent leaves 0.25 s after its session ends at 1.0 s, five times what a stop takes. Other runs end early only if stops of 0.25 s go unanswered while polls get through. No renewal at all from the first unanswered stop would end other runs sooner and still allow 1.9 s; a lease of 0.3 s would end all runs of a runner that is late for 0.3 s.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -10,9 +10,10 @@
 // sendStart asks the minion to start a run.
 func (l *loop) sendStart(now time.Time, o runtable.Order) {
 	l.metrics.starts.Inc(1)
+	l.watchSilence(o.Owner)
 	ref := runtable.RunID{TaskID: o.TaskID, Run: o.Run}
 	c := StartCall{
-		Endpoint: l.incarnation.Endpoint, RunID: ref, Spec: o.Spec, Deadline: l.lease.extend(now), Fence: l.fence,
+		Endpoint: l.incarnation.Endpoint, RunID: ref, Spec: o.Spec, Deadline: l.lease.extend(now, l.leaseLimit(now)), Fence: l.fence,
 	}
 	l.call(callTimeout, func(ctx context.Context) event {
 		answer, err := l.p.opts.Minion.Start(ctx, c)
@@ -63,8 +64,8 @@
 func (l *loop) sendPoll(now time.Time, wait time.Duration, longPoll bool) {
 	l.metrics.polls.Inc(1)
 	c := PollCall{Endpoint: l.incarnation.Endpoint, Fence: l.fence, AckedEnd: l.table.Acked(), Wait: wait}
-	if l.table.Running() > 0 && l.lease.reachable(now) && l.leaseOverSince.IsZero() {
-		c.Deadline = l.lease.extend(now)
+	if limit := l.leaseLimit(now); limit > 0 && l.renewsLease(now) {
+		c.Deadline = l.lease.extend(now, limit)
 	}
 	born := l.incarnation.StartedUnixMs
 	l.call(wait+pollTimeoutMargin, func(ctx context.Context) event {
@@ -76,6 +77,12 @@
 	})
 }
 
+// renewsLease reports whether a poll renews the lease: while tasks run at a minion that
+// can be reached.
+func (l *loop) renewsLease(now time.Time) bool {
+	return l.table.Running() > 0 && l.lease.reachable(now) && l.leaseOverSince.IsZero()
+}
+
 // startAnswered is the event of a start call that has ended. err is set if no
 // reply came.
 type startAnswered struct {
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -95,6 +95,7 @@
 	}
 	l.lastOwner++
 	d := &dispatcher{session: e.session, owner: l.lastOwner, reportInterval: reportIntervalFor(e.watches), stale: true}
+	d.silence = e.session.Silence
 	l.dispatchers[e.session] = d
 	l.byOwner[d.owner] = d
 	l.p.opts.Log.Info("dispatcher connected", "dispatcher", e.session.Peer().GetName())
--- a/internal/runner/held_test.go
+++ b/internal/runner/held_test.go
@@ -88,7 +88,7 @@
 		Endpoint: "i-1", Service: "s", StartedUnixMs: 10, Sequence: 1, Clock: 1000, Capacity: runtable.Need{CPU: 4000, Memory: 100},
 	}
 	p.minion.Store(minionRecord(&report)) // nothing is left to announce
-	s := &steppedLoop{loop: newLoop(p), t: t, minion: minion, dispatcher: &dispatcher{owner: 1}, began: time.Now()}
+	s := &steppedLoop{loop: newLoop(p), t: t, minion: minion, dispatcher: &dispatcher{owner: 1, silence: noSilence}, began: time.Now()}
 	s.byOwner[1] = s.dispatcher
 	s.beginIncarnation(s.clock.now(), report)
 	s.step()
@@ -97,6 +97,8 @@
 	return s
 }
 
+func noSilence() time.Duration { return 0 }
+
 // step handles the events that have arrived and sends what follows from them.
 func (s *steppedLoop) step() {
 	synctest.Wait()
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -55,11 +55,11 @@
 	return !s.recordedAt.IsZero() && now.Sub(s.recordedAt) < unreachableTimeout
 }
 
-// extend returns a new deadline for a call, in milliseconds on the minion's
-// clock. The deadline counts even if no reply comes, because the minion may have
+// extend returns the deadline of a lease of the given length for a call, in
+// milliseconds on the minion's clock. The deadline counts even if no reply comes, because the minion may have
 // executed the call.
-func (s *lease) extend(now time.Time) int64 {
-	deadline := s.minClock(now) + leaseDuration.Milliseconds()
+func (s *lease) extend(now time.Time, length time.Duration) int64 {
+	deadline := s.minClock(now) + length.Milliseconds()
 	s.latestDeadline = max(s.latestDeadline, deadline)
 	return deadline
 }
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -24,7 +24,7 @@
 func TestLeaseEndsOnTheSlowestClock(t *testing.T) {
 	var l lease
 	l.recordClock(timeAfter(0), 5000)
-	deadline := l.extend(timeAfter(0))
+	deadline := l.extend(timeAfter(0), leaseDuration)
 	assert.Equal(t, deadline, 5000+leaseDuration.Milliseconds())
 	watch(&l, 0, 900)
 	assert.Assert(t, !l.expired(timeAfter(900)))
@@ -38,9 +38,9 @@
 func TestUnansweredCallsCountInTheLease(t *testing.T) {
 	var l lease
 	l.recordClock(timeAfter(0), 5000)
-	l.extend(timeAfter(0))
+	l.extend(timeAfter(0), leaseDuration)
 	watch(&l, 0, 500)
-	l.extend(timeAfter(500))
+	l.extend(timeAfter(500), leaseDuration)
 	watch(&l, 500, 1200)
 	assert.Assert(t, !l.expired(timeAfter(1200)))
 	watch(&l, 1200, 1450)
@@ -60,7 +60,7 @@
 func TestStandstillDoesNotEndTheLease(t *testing.T) {
 	var l lease
 	l.recordClock(timeAfter(0), 5000)
-	l.extend(timeAfter(0))
+	l.extend(timeAfter(0), leaseDuration)
 	watch(&l, 0, 400)
 	assert.Assert(t, !l.expired(timeAfter(5400)))
 	watch(&l, 5400, 5600)
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -29,7 +29,10 @@
 
 	dispatchers map[*wire.Session]*dispatcher
 	byOwner     map[runtable.Owner]*dispatcher
-	lastOwner   runtable.Owner
+	// silences returns for each owner of runs the time since its dispatcher was last
+	// heard.
+	silences  map[runtable.Owner]func() time.Duration
+	lastOwner runtable.Owner
 
 	// longPolls counts the polls in progress that wait for ends.
 	longPolls int
@@ -85,6 +88,8 @@
 // dispatcher is a session with a dispatcher.
 type dispatcher struct {
 	session *wire.Session
+	// silence returns the time since the dispatcher was last heard.
+	silence func() time.Duration
 	owner   runtable.Owner
 	// placed counts the tasks received on this session.
 	placed uint64
@@ -121,6 +126,7 @@
 		fence:       uint64(time.Now().UnixMilli()),
 		dispatchers: map[*wire.Session]*dispatcher{},
 		byOwner:     map[runtable.Owner]*dispatcher{},
+		silences:    map[runtable.Owner]func() time.Duration{},
 		metrics: loopMetrics{
 			starts:      scope.Counter("starts"),
 			unanswered:  scope.Counter("calls_unanswered"),
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -31,6 +31,7 @@
 	state           state
 	startSentAt     time.Time // when the start was sent
 	startAnsweredAt time.Time // when the start was answered or a list contained the run; zero before
+	stopRequestedAt time.Time // when it was first to be stopped; zero before
 	stopSentAt      time.Time // when the last stop was sent
 	stopAnsweredAt  time.Time // when a stop was answered; zero before
 	listed          bool      // a list contained the run as active
@@ -264,6 +265,7 @@
 		t.finish(now, r, NotRun, reason)
 	case starting, running:
 		r.state = stopping
+		r.stopRequestedAt = now
 		r.stopReason = reason
 		t.sendStop(now, r)
 	}
