Runner: a full list that brings no new end asks for no further list

Cause: since "a full list of ends proves no end" each full list asked for another at once. A minion that repeats its ends, or an answer that was overtaken, would have been polled without a pause. Now only a full list with ends that were not applied before does.

Evidence: TestEndBeyondAFullListIsNotGuessed repeats a full list and fails without the condition.

--- a/internal/runtable/ends_test.go
+++ b/internal/runtable/ends_test.go
@@ -103,7 +103,11 @@
 	out := tab.TakeOutput()
 	assert.Equal(t, len(out.Ends), 0)
 	assert.Assert(t, out.ListNow)
-	tab.ApplyListing(at(8), Listing{SentAt: at(7), Ended: []EndedRow{
+	tab.ApplyListing(at(7), Listing{SentAt: at(5), Ended: endsOfOthers(1, maxListedEnds)})
+	out = tab.TakeOutput()
+	assert.Equal(t, len(out.Ends), 0)
+	assert.Assert(t, !out.ListNow) // it brought nothing new
+	tab.ApplyListing(at(9), Listing{SentAt: at(8), Ended: []EndedRow{
 		{RunID: ref(runs), Number: maxListedEnds + 1, Outcome: Done}, {RunID: ref(stopped), Number: maxListedEnds + 2, Outcome: Done},
 	}})
 	ends := tab.TakeOutput().Ends
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -87,6 +87,7 @@
 
 // ApplyListing applies the minion's lists of active and ended runs.
 func (t *Table) ApplyListing(now time.Time, l Listing) {
+	ackedBefore := t.acked
 	for _, row := range l.Ended {
 		if row.Number > t.acked {
 			t.acked = row.Number
@@ -109,7 +110,9 @@
 		}
 		delete(listed, name)
 	}
-	t.out.ListNow = t.out.ListNow || l.full()
+	if l.full() && t.acked > ackedBefore { // the next list contains further ends
+		t.out.ListNow = true
+	}
 	t.stopForeignRuns(l.SentAt, listed)
 	t.lastChange = now
 }
