--- a/internal/runner/bound_test.go
+++ b/internal/runner/bound_test.go
@@ -75,7 +75,7 @@
 		checkDue = false
 		if now%pollWait == 0 || now == thawed {
 			l.recordClock(start.Add(now), minionClock(now))
-			l.extend(start.Add(now))
+			l.extend(start.Add(now), leaseDuration)
 		}
 	}
 }
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -21,13 +21,20 @@
 	table       *runtable.Table
 	incarnation incarnation
 	lease       lease
-	fence       uint64
+	// leaseOverSince is when the lease of runs that have not ended was found to be
+	// over; zero while it goes on.
+	leaseOverSince time.Time
+	fence          uint64
+	clock          increasingClock
 
 	dispatchers map[*wire.Session]*dispatcher
 	byOwner     map[runtable.Owner]*dispatcher
 	// replaced holds the sessions that a later session of the same dispatcher has
 	// replaced, until their ends are handled.
-	replaced  map[*wire.Session]bool
+	replaced map[*wire.Session]bool
+	// silences returns for each owner of runs the time since its dispatcher was last
+	// heard.
+	silences  map[runtable.Owner]func() time.Duration
 	lastOwner runtable.Owner
 
 	// longPolls counts the polls in progress that wait for ends.
@@ -77,6 +84,8 @@
 // dispatcher is a session with a dispatcher.
 type dispatcher struct {
 	session *wire.Session
+	// silence returns the time since the dispatcher was last heard.
+	silence func() time.Duration
 	owner   runtable.Owner
 	// placed counts the tasks received on this session.
 	placed uint64
@@ -114,6 +123,7 @@
 		dispatchers: map[*wire.Session]*dispatcher{},
 		byOwner:     map[runtable.Owner]*dispatcher{},
 		replaced:    map[*wire.Session]bool{},
+		silences:    map[runtable.Owner]func() time.Duration{},
 		metrics: loopMetrics{
 			starts:      scope.Counter("starts"),
 			unanswered:  scope.Counter("calls_unanswered"),
@@ -139,16 +149,15 @@
 	for {
 		select {
 		case e := <-l.p.events:
-			e.handle(l, time.Now())
+			e.handle(l, l.clock.now())
 			l.handleQueued()
-		case now := <-timer.C:
-			l.recordStall(time.Since(now))
-			l.tick(now)
-			ticked = now
+		case fired := <-timer.C:
+			l.handleTimer(fired)
+			ticked = fired
 		case <-l.p.quit:
 			return
 		}
-		l.flush(time.Now())
+		l.flush(l.clock.now())
 		timer.Reset(time.Until(ticked.Add(l.nextTickInterval())))
 	}
 }
@@ -173,13 +182,21 @@
 	for range eventQueueLength {
 		select {
 		case e := <-l.p.events:
-			e.handle(l, time.Now())
+			e.handle(l, l.clock.now())
 		default:
 			return
 		}
 	}
 }
 
+// handleTimer handles a tick that was due at the given time. The queued events come
+// first: after a standstill, answers of the minion say how runs ended.
+func (l *loop) handleTimer(due time.Time) {
+	l.recordStall(time.Since(due))
+	l.handleQueued()
+	l.tick(l.clock.now())
+}
+
 // recordStall logs that the loop handled a tick late, since the process had no
 // processor time or was suspended.
 func (l *loop) recordStall(late time.Duration) {
@@ -191,14 +208,30 @@
 }
 
 func (l *loop) tick(now time.Time) {
-	if l.lease.expired(now) && l.table.Running() > 0 {
-		l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
-		l.table.LeaseExpired(now)
-	}
+	l.lease.observe(now)
+	l.checkLease(now)
 	l.table.Tick(now)
 	l.updateReadiness(now)
 }
 
+// checkLease ends the runs of a lease that is over. A minion that can be asked says
+// first how they ended.
+func (l *loop) checkLease(now time.Time) {
+	if l.table.Running() == 0 || !l.lease.expired(now) {
+		l.leaseOverSince = time.Time{}
+		return
+	}
+	if l.leaseOverSince.IsZero() {
+		l.leaseOverSince = now
+		l.table.RequireList(now)
+	}
+	if l.lease.reachable(now) && now.Sub(l.leaseOverSince) < listTimeout {
+		return
+	}
+	l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
+	l.table.LeaseExpired(now)
+}
+
 // updateReadiness passes the minion's capacity to the table, and whether new
 // tasks may start.
 func (l *loop) updateReadiness(now time.Time) {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -42,9 +42,15 @@
 	// unreachableTimeout is how long all calls may stay unanswered before no more
 	// starts are sent and the lease is left to expire.
 	unreachableTimeout = 600 * time.Millisecond
+	// listTimeout is how long the minion's list may take to say how the runs of a lease
+	// that is over have ended. It outlasts one poll.
+	listTimeout = 80 * time.Millisecond
 	// minClockRate is the lowest rate of a minion's clock, relative to the local
 	// clock.
 	minClockRate = 0.98
+	// maxObservedStep is the most time between two ticks that counts as passed at the
+	// minion. It outlasts two of the longest tick intervals.
+	maxObservedStep = 250 * time.Millisecond
 
 	// confirmationBackoff is the pause after a question to the minion about its
 	// incarnation that was not answered.
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -31,6 +31,7 @@
 	state           state
 	startSentAt     time.Time // when the start was sent
 	startAnsweredAt time.Time // when the start was answered or a list contained the run; zero before
+	stopRequestedAt time.Time // when it was first to be stopped; zero before
 	stopSentAt      time.Time // when the last stop was sent
 	stopAnsweredAt  time.Time // when a stop was answered; zero before
 	listed          bool      // a list contained the run as active
@@ -122,12 +123,12 @@
 	t.acked = 0
 	t.health = health{}
 	t.out.Stops = nil // they are meant for the earlier incarnation
-	t.requireList(now)
+	t.RequireList(now)
 }
 
-// requireList lets nothing start until a list that is requested from now on shows
+// RequireList lets nothing start until a list that is requested from now on shows
 // what runs at the minion.
-func (t *Table) requireList(now time.Time) {
+func (t *Table) RequireList(now time.Time) {
 	t.foreignRunsGone = false
 	t.unknownSince = now
 	t.out.ListNow = true
@@ -152,7 +153,7 @@
 			t.finish(now, r, Stopped, ReasonLeaseExpired)
 		}
 	}
-	t.requireList(now)
+	t.RequireList(now)
 }
 
 // UpdateMinion sets the capacity of the minion, and whether it accepts new work.
@@ -288,6 +289,7 @@
 		t.finish(now, r, NotRun, reason)
 	case starting, running:
 		r.state = stopping
+		r.stopRequestedAt = now
 		r.stopReason = reason
 		t.sendStop(now, r)
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -200,6 +200,9 @@
 	s.opts.OnClosed(s)
 }
 
+// Silence returns the time since bytes last arrived from the peer.
+func (s *Session) Silence() time.Duration { return boottime.Now() - s.lastReceived.get() }
+
 // deliver passes a received message to the call that waits for it, or to the
 // handler.
 func (s *Session) deliver(e *wirepb.Envelope) {
