Runner: a leave ends no runs

What callers could see: a task that ran twice at once after a DELETE that was late or came while runs still ended. Cause: it goes by the name alone; the runner counted all runs as stopped and polled no more, so that it neither saw their ends nor renewed their lease.

A leave now only means that the minion gets no more work. It is polled until its runs have ended, by its lists, by the end of their lease or by a confirmed successor. A later report of the same incarnation makes it usable again and ends nothing.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -29,10 +29,16 @@
 	})
 }
 
+// wantsPolls reports whether there is an incarnation to poll. One that has left is
+// polled until its runs have ended.
+func (l *loop) wantsPolls() bool {
+	return l.incarnation.known() || l.incarnation.left && l.table.Running() > 0
+}
+
 // keepPolling keeps one long poll in progress, which waits for ends and renews the
 // lease. It keeps two for redundantPollDuration after an unanswered call.
 func (l *loop) keepPolling(now time.Time) {
-	if !l.incarnation.known() {
+	if !l.wantsPolls() {
 		return
 	}
 	wanted := 1
@@ -51,7 +57,7 @@
 
 // pollNow sends a poll that does not wait, unless such a poll is in progress.
 func (l *loop) pollNow(now time.Time) {
-	if l.immediatePollActive || !l.incarnation.known() {
+	if l.immediatePollActive || !l.wantsPolls() {
 		return
 	}
 	l.immediatePollActive = true
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -49,16 +49,18 @@
 	}
 }
 
-// minionLeft is the event of an incarnation of the minion that ended as planned.
+// minionLeft is the event of a message that the minion has ended as planned. It may
+// be delayed and names no start, so it is no proof that a run has ended: the minion
+// gets no more work and is polled until its runs have ended.
 type minionLeft struct{ endpoint string }
 
 func (e minionLeft) handle(l *loop, now time.Time) {
-	if e.endpoint != l.incarnation.Endpoint {
+	if e.endpoint != l.incarnation.Endpoint || !l.incarnation.known() {
+		l.p.opts.Log.Info("leave ignored", "endpoint", e.endpoint, "present", l.incarnation.Endpoint)
 		return
 	}
 	l.p.opts.Log.Info("minion left", "endpoint", e.endpoint, "running", l.table.Running())
 	l.incarnation.left = true
-	l.table.MinionRestarted(now)
 	l.updateReadiness(now)
 	l.markStale()
 }
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -189,3 +189,68 @@
 	}))
 	assert.Equal(t, <-starts, 0)
 }
+
+// TestLeaveEndsNoRuns guards against runs that count as ended because a name is said to have left.
+func TestLeaveEndsNoRuns(t *testing.T) {
+	b := startFixture(t)
+	b.placeRunning("a")
+	b.runner.Leave(t.Context(), "i-1")
+	b.noEndFor(150 * time.Millisecond)
+	d := b.dump()
+	assert.Assert(t, !d.Known && !d.Ready)
+	assert.Equal(t, d.Running, 1)
+	b.placeTask("late", 0)
+	b.waitForEnd(wirepb.RunOutcome_RUN_OUTCOME_NOT_RUN)
+	b.minion.update(func(m *fakeMinion) {
+		for id := range m.running {
+			delete(m.running, id)
+			m.addEnd(id, runtable.Done)
+		}
+	})
+	b.waitForEnd(wirepb.RunOutcome_RUN_OUTCOME_DONE)
+}
+
+// TestReportAfterALeaveEndsNoRuns guards against a delayed leave that ends the work of the minion that goes on.
+func TestReportAfterALeaveEndsNoRuns(t *testing.T) {
+	b := startFixture(t)
+	b.placeRunning("a")
+	b.runner.Leave(t.Context(), "i-1")
+	b.reportMinion(2)
+	b.noEndFor(100 * time.Millisecond)
+	d := b.dump()
+	assert.Assert(t, d.Known && d.Ready)
+	assert.Equal(t, d.Running, 1)
+}
+
+// TestRunsOfAMinionThatLeftEndWithTheirLease guards against runs that never end after a leave.
+func TestRunsOfAMinionThatLeftEndWithTheirLease(t *testing.T) {
+	b := startFixture(t)
+	b.placeRunning("a")
+	b.runner.Leave(t.Context(), "i-1")
+	b.minion.update(func(m *fakeMinion) { m.silent = true })
+	b.waitForEnd(wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
+}
+
+// TestSuccessorOfAMinionThatLeftEndsItsRuns guards against runs that wait for their lease although the minion has a successor.
+func TestSuccessorOfAMinionThatLeftEndsItsRuns(t *testing.T) {
+	b := startFixture(t)
+	b.placeRunning("a")
+	b.runner.Leave(t.Context(), "i-1")
+	b.minion.restart("i-2", 20)
+	b.runner.Report(t.Context(), reportOfMinion("i-2", 20, 1))
+	b.waitForReport(func(r *wirepb.RunnerReport) bool {
+		return len(r.Ends) == 1 && r.Ends[0].Reason == runtable.ReasonMinionGone
+	})
+	waitForDump(t, b.runner, func(d Dump) bool { return d.Ready && d.Endpoint == "i-2" })
+}
+
+// TestMinionThatLeftIsPolledOnlyWhileRunsAreLeft guards against calls without end to a minion that is gone.
+func TestMinionThatLeftIsPolledOnlyWhileRunsAreLeft(t *testing.T) {
+	b := startFixture(t)
+	b.runner.Leave(t.Context(), "i-1")
+	b.dump()
+	time.Sleep(50 * time.Millisecond) // a poll that was in progress ends
+	before := b.minion.pollCount()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, b.minion.pollCount(), before)
+}
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -155,6 +155,12 @@
 	return lists, nil
 }
 
+func (m *fakeMinion) pollCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.polls
+}
+
 func (m *fakeMinion) count() (running, starts int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
