Runner: answers to an earlier incarnation are ignored, by a number of its own

Cause, found by reading: answers of starts and stops were compared with the present incarnation by the name only, so that one that an earlier start of the same name gave could end a run of the later one ("minion_rejected"), raise the fencing token or put its clock into the lease, which then lapses early by the runner's reckoning. Polls in progress to the earlier incarnation counted as polls to the later one and held up its first lists until they timed out.

Each call carries the number of the incarnation that it was sent to; an answer to another number is ignored, and the polls in progress are counted anew at a takeover. An answer to a start or a stop may also come from a later start that the runner does not know yet, and does not name it, so the clock is read from lists only, which do.

Evidence: runner TestAnswersOfAnEarlierStartAreIgnored (clock, count of polls, token and the run's end were wrong), TestOnlyListsSetTheClock and TestPollsOfAnEarlierIncarnationDelayNone failed with the number in place and not compared; they pass now.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -14,18 +14,20 @@
 	c := StartCall{
 		Endpoint: l.incarnation.Endpoint, RunID: ref, Spec: o.Spec, Deadline: l.lease.extend(now), Fence: l.fence,
 	}
+	to := l.incarnation.number
 	l.call(callTimeout, func(ctx context.Context) event {
 		answer, err := l.p.opts.Minion.Start(ctx, c)
-		return startAnswered{c, answer, err}
+		return startAnswered{to, c, answer, err}
 	})
 }
 
 // sendStop asks the minion to stop a run.
 func (l *loop) sendStop(ref runtable.RunID) {
 	c := StopCall{Endpoint: l.incarnation.Endpoint, RunID: ref, Fence: l.fence}
+	to := l.incarnation.number
 	l.call(callTimeout, func(ctx context.Context) event {
 		answer, err := l.p.opts.Minion.Stop(ctx, c)
-		return stopAnswered{c, answer, err}
+		return stopAnswered{to, c, answer, err}
 	})
 }
 
@@ -72,26 +74,28 @@
 	if l.table.Running() > 0 && l.lease.reachable(now) {
 		c.Deadline = l.lease.extend(now)
 	}
-	born := l.incarnation.StartedUnixMs
+	to := l.incarnation.number
 	l.call(wait+pollTimeoutMargin, func(ctx context.Context) event {
 		lists, err := l.p.opts.Minion.Poll(ctx, c)
 		if err != nil && longPoll {
 			time.Sleep(pollBackoff)
 		}
-		return pollAnswered{call: c, born: born, lists: lists, err: err, longPoll: longPoll, sentAt: now}
+		return pollAnswered{to: to, call: c, lists: lists, err: err, longPoll: longPoll, sentAt: now}
 	})
 }
 
 // startAnswered is the event of a start call that has ended. err is set if no
-// reply came.
+// reply came. The answer may be that of a later start of the minion, so its reading
+// of the clock is not used; only lists name the start that they are from.
 type startAnswered struct {
+	to     uint64 // the number of the incarnation
 	call   StartCall
 	answer Answer
 	err    error
 }
 
 func (a startAnswered) handle(l *loop, now time.Time) {
-	if a.call.Endpoint != l.incarnation.Endpoint {
+	if a.to != l.incarnation.number {
 		return
 	}
 	if a.err != nil {
@@ -99,7 +103,6 @@
 		l.table.StartAnswered(now, a.call.RunID, runtable.Unanswered)
 		return
 	}
-	l.lease.recordClock(now, a.answer.Clock)
 	l.checkFence(a.answer.Status, a.call.Fence)
 	if a.answer.Status != Accepted {
 		l.p.opts.Log.Info("start refused", "job", a.call.RunID.Job, "task", a.call.RunID.Index, "run", a.call.RunID.Run,
@@ -126,20 +129,20 @@
 // stopAnswered is the event of a stop call that has ended. err is set if no reply
 // came.
 type stopAnswered struct {
+	to     uint64 // the number of the incarnation
 	call   StopCall
 	answer Answer
 	err    error
 }
 
 func (a stopAnswered) handle(l *loop, now time.Time) {
-	if a.call.Endpoint != l.incarnation.Endpoint {
+	if a.to != l.incarnation.number {
 		return
 	}
 	if a.err != nil {
 		l.unanswered(now, "stop", a.call.RunID, a.err)
 		return // the table sends the stop again
 	}
-	l.lease.recordClock(now, a.answer.Clock)
 	l.checkFence(a.answer.Status, a.call.Fence)
 	if a.answer.Status == Accepted {
 		l.table.StopAnswered(now, a.call.RunID)
@@ -163,8 +166,8 @@
 
 // pollAnswered is the event of a poll that has ended. err is set if no reply came.
 type pollAnswered struct {
+	to       uint64 // the number of the incarnation
 	call     PollCall
-	born     int64
 	lists    PollAnswer
 	err      error
 	longPoll bool
@@ -172,14 +175,14 @@
 }
 
 func (a pollAnswered) handle(l *loop, now time.Time) {
+	if a.to != l.incarnation.number {
+		return
+	}
 	if a.longPoll {
 		l.longPolls--
 	} else {
 		l.immediatePollActive = false
 	}
-	if a.call.Endpoint != l.incarnation.Endpoint || a.born != l.incarnation.StartedUnixMs {
-		return
-	}
 	if a.err != nil {
 		l.metrics.unanswered.Inc(1)
 		l.lastUnanswered = now
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -18,7 +18,8 @@
 // incarnation is the present incarnation of the minion.
 type incarnation struct {
 	Report
-	// number counts the incarnations that have begun; 0 stands for none.
+	// number counts the incarnations that have begun; 0 stands for none. Answers to
+	// calls to another number are ignored.
 	number uint64
 	// left is set once the incarnation is said to have left, until it reports again.
 	left bool
@@ -146,6 +147,7 @@
 		"cpu", r.Capacity.CPU, "labels", r.Labels, "draining", r.Draining,
 		"before", l.incarnation.Endpoint, "before_born", l.incarnation.StartedUnixMs, "runs", l.table.Running())
 	l.incarnation = incarnation{Report: r, number: l.incarnation.number + 1}
+	l.longPolls, l.immediatePollActive = 0, false
 	l.lease.reset()
 	l.lease.recordClock(now, clock)
 	l.fence++ // so that the minion refuses calls that are in flight to the earlier incarnation
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -27,9 +27,11 @@
 	byOwner     map[runtable.Owner]*dispatcher
 	lastOwner   runtable.Owner
 
-	// longPolls counts the polls in progress that wait for ends.
+	// longPolls counts the polls of the present incarnation in progress that wait
+	// for ends.
 	longPolls int
-	// immediatePollActive reports whether a poll that does not wait is in progress.
+	// immediatePollActive reports whether a poll of the present incarnation that
+	// does not wait is in progress.
 	immediatePollActive bool
 	// reportedAvailability is the availability that the last reports were built
 	// from.
