Runner: a refused long poll pauses before the next

What was seen in a test: 18128 polls in 0.11 s. Cause: the pause after a poll applied only to one without an answer. The pause now follows every long poll that brings no lists.

Evidence: runner TestRefusedPollsPause failed before (18128 polls, at most 44) and passes now, 5 of 5.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -77,7 +77,7 @@
 	to := l.incarnation.number
 	l.call(wait+pollTimeoutMargin, func(ctx context.Context) event {
 		lists, err := l.p.opts.Minion.Poll(ctx, c)
-		if err != nil && longPoll {
+		if longPoll && (err != nil || lists.Status != Accepted) {
 			time.Sleep(pollBackoff)
 		}
 		return pollAnswered{to: to, call: c, lists: lists, err: err, longPoll: longPoll, sentAt: now}
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -324,3 +324,14 @@
 		assert.Check(t, l.longPolls == 0 && !l.immediatePollActive)
 	})
 }
+
+// TestRefusedPollsPause guards against calls in a tight loop while another minion is at the address.
+func TestRefusedPollsPause(t *testing.T) {
+	b := startFixture(t)
+	b.minion.restart("i-2", 20)
+	began, before := time.Now(), b.minion.pollCount()
+	time.Sleep(20 * pollBackoff)
+	polls := b.minion.pollCount() - before
+	rounds := 2 + int(time.Since(began)/pollBackoff)
+	assert.Assert(t, polls <= 2*rounds, "%d polls, at most two are to be in progress in %d pauses", polls, rounds)
+}
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -34,7 +34,7 @@
 	// sent again. It is many times the duration of a call on the same host and
 	// short in comparison with the shortest objective. Both calls are idempotent.
 	callTimeout = 30 * time.Millisecond
-	// pollBackoff is the pause after an unanswered long poll.
+	// pollBackoff is the pause after a long poll that was not answered with lists.
 	pollBackoff = 5 * time.Millisecond
 	// redundantPollDuration is how long after an unanswered call two long polls are
 	// kept in progress, so that the loss of one delays no end.
