--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"endivewing/internal/sleep"
 )
 
 // incarnationID names an incarnation of a minion.
@@ -35,8 +37,10 @@
 // start time. Anything else may be delayed or come from another writer.
 type candidate struct {
 	Report
-	// attempts counts the polls that were not answered or refused.
+	// attempts counts the polls that were not answered or refused. backoff is the
+	// pause after each.
 	attempts int
+	backoff  sleep.Backoff
 }
 
 // propose has the minion asked whether it is the incarnation that a report
@@ -52,7 +56,9 @@
 	}
 	l.p.opts.Log.Info("incarnation proposed", "endpoint", r.Endpoint, "born", r.StartedUnixMs, "sequence", r.Sequence,
 		"present", l.incarnation.Endpoint, "present_born", l.incarnation.StartedUnixMs)
-	l.candidates = append(l.candidates, &candidate{Report: *r})
+	l.candidates = append(l.candidates, &candidate{
+		Report: *r, backoff: sleep.Backoff{Min: minConfirmationBackoff, Max: maxConfirmationBackoff},
+	})
 	l.askMinion()
 }
 
@@ -85,7 +91,7 @@
 	l.call(callTimeout, func(ctx context.Context) event {
 		lists, err := l.p.opts.Minion.Poll(ctx, c)
 		if err != nil || lists.Status == Refused {
-			time.Sleep(confirmationBackoff)
+			asked.backoff.Wait(context.Background())
 		}
 		return candidateAnswered{asked, c, lists, err}
 	})
@@ -130,7 +136,7 @@
 }
 
 // askAgain puts a candidate at the end of the queue after a question that was not
-// answered or refused. After the last attempt it waits for a further report.
+// answered or refused. After the last attempt only a further report brings it back.
 func (l *loop) askAgain(c *candidate, err error) {
 	c.attempts++
 	if c.attempts == maxConfirmationAttempts {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -46,12 +46,14 @@
 	// clock.
 	minClockRate = 0.98
 
-	// confirmationBackoff is the pause after a question to the minion about its
-	// incarnation that was not answered.
-	confirmationBackoff = 50 * time.Millisecond
+	// minConfirmationBackoff and maxConfirmationBackoff are the first and the longest
+	// pause after a question to the minion about its incarnation that was not
+	// answered. A minion may report itself before it takes calls.
+	minConfirmationBackoff = 5 * time.Millisecond
+	maxConfirmationBackoff = 80 * time.Millisecond
 	// maxConfirmationAttempts is how often the minion is asked about an incarnation.
 	// It fills the time to the minion's next report.
-	maxConfirmationAttempts = 20
+	maxConfirmationAttempts = 30
 	// maxCandidates bounds the incarnations that the minion is asked about in turn.
 	maxCandidates = 4
 
