--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -37,9 +37,11 @@
 	silences  map[runtable.Owner]func() time.Duration
 	lastOwner runtable.Owner
 
-	// longPolls counts the polls in progress that wait for ends.
+	// longPolls counts the polls of the present incarnation in progress that wait
+	// for ends.
 	longPolls int
-	// immediatePollActive reports whether a poll that does not wait is in progress.
+	// immediatePollActive reports whether a poll of the present incarnation that
+	// does not wait is in progress.
 	immediatePollActive bool
 	// reportedAvailability is the availability that the last reports were built
 	// from.
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -34,7 +34,7 @@
 	// sent again. It is many times the duration of a call on the same host and
 	// short in comparison with the shortest objective. Both calls are idempotent.
 	callTimeout = 30 * time.Millisecond
-	// pollBackoff is the pause after an unanswered long poll.
+	// pollBackoff is the pause after a long poll that was not answered with lists.
 	pollBackoff = 5 * time.Millisecond
 	// redundantPollDuration is how long after an unanswered call two long polls are
 	// kept in progress, so that the loss of one delays no end.
@@ -52,12 +52,14 @@
 	// minion. It outlasts two of the longest tick intervals.
 	maxObservedStep = 250 * time.Millisecond
 
-	// confirmationBackoff is the pause after a question to the minion about its
-	// incarnation that was not answered.
-	confirmationBackoff = 50 * time.Millisecond
+	// minConfirmationBackoff and maxConfirmationBackoff are the first and the longest
+	// pause after a question to the minion about its incarnation that was not
+	// answered. A minion may report itself before it takes calls.
+	minConfirmationBackoff = 5 * time.Millisecond
+	maxConfirmationBackoff = 80 * time.Millisecond
 	// maxConfirmationAttempts is how often the minion is asked about an incarnation.
 	// It fills the time to the minion's next report.
-	maxConfirmationAttempts = 20
+	maxConfirmationAttempts = 30
 	// maxCandidates bounds the incarnations that the minion is asked about in turn.
 	// It is more than there are control members with a record each.
 	maxCandidates = 16
