Relay: break the clients' connections without telling the target

The soak of separate processes could not show a caller whose channel breaks while its dispatcher still works for it. BreakClients closes the clients' side only.

--- a/internal/testkit/proc/relay.go
+++ b/internal/testkit/proc/relay.go
@@ -10,7 +10,8 @@
 // Relay is a TCP proxy on loopback in front of one process. Its address stays the
 // same when the address of the process changes. A relay can be made silent, like
 // a network partition: connections stay open, but no data passes in one or both
-// directions.
+// directions. It can also break connections on the side of the clients only, so
+// that the process doesn't learn of it.
 type Relay struct {
 	listener net.Listener
 
@@ -20,7 +21,16 @@
 	silent       [directionCount]bool
 	delay        time.Duration
 	closed       bool
-	conns        map[net.Conn]struct{}
+	conns        map[net.Conn]side
+	// orphans are the connections to the target whose client has been broken off.
+	orphans map[net.Conn]struct{}
+}
+
+// side is the side of a relay that a connection belongs to.
+type side struct {
+	isClient bool
+	// peer is the connection of the other side.
+	peer net.Conn
 }
 
 // Direction is a direction of data through a relay.
@@ -42,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, conns: map[net.Conn]struct{}{}}
+	r := &Relay{listener: l, conns: map[net.Conn]side{}, orphans: map[net.Conn]struct{}{}}
 	r.stateChanged = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
@@ -88,6 +98,19 @@
 	}
 }
 
+// BreakClients closes the connections of the clients and keeps those to the target
+// open. What the target still sends on them is discarded.
+func (r *Relay) BreakClients() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c, s := range r.conns {
+		if s.isClient {
+			r.orphans[s.peer] = struct{}{}
+			_ = c.Close()
+		}
+	}
+}
+
 // Close stops the relay and closes all connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -139,39 +162,64 @@
 	return r.target, r.delay, !r.closed
 }
 
-// track adds connections to those that CloseConnections and Close close.
-func (r *Relay) track(added ...net.Conn) {
+// track adds the two connections of a client to those that CloseConnections and
+// Close close.
+func (r *Relay) track(client, target net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, c := range added {
-		r.conns[c] = struct{}{}
-	}
+	r.conns[client] = side{isClient: true, peer: target}
+	r.conns[target] = side{peer: client}
+}
+
+// isOrphan reports whether a connection is one to the target whose client has been
+// broken off.
+func (r *Relay) isOrphan(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.orphans[c]
+	return ok
 }
 
-// copy copies data in one direction until an error, then closes both
-// connections.
+// release closes a connection and forgets it.
+func (r *Relay) release(c net.Conn) {
+	_ = c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+	delete(r.orphans, c)
+}
+
+// copy copies data in one direction until an error, then closes both connections. An
+// orphaned connection to the target stays open until the target closes it.
 func (r *Relay) copy(d Direction, from, to net.Conn) {
-	defer func() {
-		_ = from.Close()
-		_ = to.Close()
-		r.mu.Lock()
-		delete(r.conns, from)
-		delete(r.conns, to)
-		r.mu.Unlock()
-	}()
+	err := r.forward(d, from, to)
+	switch {
+	case d == ToTarget && r.isOrphan(to):
+		r.release(from)
+		return
+	case d == FromTarget && r.isOrphan(from) && err != io.EOF:
+		_, _ = io.Copy(io.Discard, from)
+	}
+	r.release(from)
+	r.release(to)
+}
+
+// forward copies data in one direction until an error. The error is io.EOF if the
+// sender closed its connection, or the relay was closed.
+func (r *Relay) forward(d Direction, from, to net.Conn) error {
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buf)
 		_, delay, ok := r.waitWhileSilent(d)
 		if !ok {
-			return
+			return io.EOF
 		}
 		time.Sleep(delay)
-		if _, werr := to.Write(buf[:n]); werr != nil {
-			return
+		if _, writeErr := to.Write(buf[:n]); writeErr != nil {
+			return writeErr
 		}
-		if err == io.EOF || err != nil {
-			return
+		if err != nil {
+			return err
 		}
 	}
 }
