--- a/internal/runner/standstill_test.go
+++ b/internal/runner/standstill_test.go
@@ -46,8 +46,8 @@
 	})
 }
 
-// wakeAfterStandstill lets a run's lease pass while the runner stands still. A start
-// answers first, whose reading of the clock shows that the lease is over.
+// wakeAfterStandstill lets a run's lease pass while the runner stands still. A reading
+// of the minion's clock shows that the lease is over, and another start is refused.
 func (s *steppedLoop) wakeAfterStandstill() runtable.RunID {
 	ref := s.start("a")
 	other := s.place("b")
@@ -56,6 +56,7 @@
 	s.handleTimer(time.Now())
 	s.began = s.began.Add(-2 * leaseDuration) // the minion's clock goes on
 	s.minion.starts[len(s.minion.starts)-1].answer <- Answer{Status: DeadlinePassed, Clock: s.minionClock()}
+	s.lease.recordClock(time.Now(), s.minionClock())
 	s.minion.polls = nil
 	s.step()
 	assert.Assert(s.t, s.lease.expired(time.Now()))
