Tests: full disks beside restarts and a replaced voter

Members killed on a full disk and started before there is room, and a voter replaced by an empty host while another disk is full. All passed from the start with the changes to the log; no further fault found.

--- a/internal/controlmember/disk_full_test.go
+++ b/internal/controlmember/disk_full_test.go
@@ -148,3 +148,73 @@
 		}
 	}
 }
+
+// TestRestartOnAFullDiskFailed: each member is killed while its disk is full and starts
+// again before there is room. It has to start, and to vote once there is.
+func TestRestartOnAFullDiskFailed(t *testing.T) {
+	everything := map[disk.Operation]bool{
+		disk.Create: true, disk.Write: true, disk.Sync: true, disk.Truncate: true, disk.Rename: true, disk.Remove: true, disk.SyncFolder: true,
+	}
+	for name, refused := range map[string]map[disk.Operation]bool{"bytes": {disk.Write: true}, "every operation": everything} {
+		t.Run(name, func(t *testing.T) {
+			d := &fullDisk{refused: refused}
+			t.Cleanup(disk.InjectFaults(d.fault))
+			g := newGroup(t)
+			w := &writer{members: g.startAll(), size: 10_000}
+			w.checkServes(t, "before")
+			for host := 1; host <= 3; host++ {
+				folder := filepath.Join(g.dir, fmt.Sprint("disk", host))
+				d.folder.Store(&folder)
+				for range 30 {
+					_ = w.change(t.Context(), int(w.version)%3+1)
+				}
+				kill(w.members[host])
+				w.members[host] = g.start(host, fmt.Sprint("disk", host), false)
+				for range 30 {
+					_ = w.change(t.Context(), int(w.version)%3+1)
+				}
+				d.folder.Store(nil)
+				w.checkServes(t, fmt.Sprint("member ", host))
+			}
+		})
+	}
+}
+
+// TestChangesStayedRefusedAfterAVoterWasReplacedBesideFullDisks: a host is replaced by an
+// empty one while the disk of another is full, and that disk fills again afterwards.
+func TestChangesStayedRefusedAfterAVoterWasReplacedBesideFullDisks(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		t.Run(fmt.Sprint("the leader's disk: ", leads), func(t *testing.T) {
+			d := &fullDisk{refused: map[disk.Operation]bool{disk.Write: true}}
+			t.Cleanup(disk.InjectFaults(d.fault))
+			g := newGroup(t)
+			w := &writer{members: g.startAll(), size: 10_000}
+			w.checkServes(t, "before")
+			full := w.leaderOf(g)
+			lost := full%3 + 1
+			if !leads {
+				full = lost%3 + 1
+			}
+			folder := filepath.Join(g.dir, fmt.Sprint("disk", full))
+			d.folder.Store(&folder)
+			kill(w.members[lost])
+			delete(w.members, lost)
+			empty := g.start(4, "disk4", false)
+			for range 2 { // without a majority each change takes its whole time
+				for host := range w.members {
+					_ = w.change(t.Context(), host)
+				}
+			}
+			d.folder.Store(nil)
+			w.checkServes(t, "after the first time")
+			g.waitFor("the new host votes", func() bool { return voters(w.members[full])[g.address(4)] != 0 })
+			w.members[4] = empty
+			d.folder.Store(&folder)
+			for range 30 {
+				_ = w.change(t.Context(), 4)
+			}
+			d.folder.Store(nil)
+			w.checkServes(t, "after the second time")
+		})
+	}
+}
