A dispatcher gives up a job that its caller has sent elsewhere

What callers saw: a task at work twice, for as long as both submissions lasted, when a connection broke without the dispatcher being told (a relay in between that loses the end). The caller sends the job again after 1.3 s; the first dispatcher works on until the deadline at 1.5 s.

Cause: a runner that got the job from both dispatchers stopped the run of the same task only, as "stopped". The first dispatcher placed that task again, beside the runs of the second, and an order of the first stopped runs of the second in turn.

An order for a job that has runs here for another dispatcher proves that the caller has sent the job again. Orders carry a key, the latest start of the job, which is later for the later submission. The runner stops the runs of the earlier submission, or refuses its orders, with the reason "job_sent_elsewhere"; its dispatcher gives the whole job up and stops its other runs.

This shortens the overlap and does not rule it out: the dispatchers learn of each other only at a runner that both chose, after the second has begun.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -154,6 +154,11 @@
 		return
 	}
 	t.mustHaveEndedAt = time.Time{} // its runner knows
+	if e.Reason == runtable.ReasonResubmitted {
+		o.requeue(int(e.Step), t) // it is over, so it needs no stop
+		d.answer(now, o, GivenUp, ReasonElsewhere)
+		return
+	}
 	step := int(e.Step)
 	o.hasRun = o.hasRun || e.Outcome != runtable.NotRun
 	switch e.Outcome {
@@ -220,7 +225,7 @@
 	delete(d.jobs, o.ID)
 	d.dequeue(o)
 	d.stopRuns(o)
-	if result == GivenUp && !o.mayHaveRun() {
+	if result == GivenUp && reason != ReasonElsewhere && !o.mayHaveRun() {
 		result = Refused
 	}
 	a := Answer{Job: o.Job, Result: result, Reason: reason, Starts: o.starts, Lost: o.lost}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -348,3 +348,21 @@
 	d.RunEnded(ms(600), out.Placements[0].Runner, TaskEnd{RunID: out.Placements[0].Runs[0], Outcome: runtable.Done})
 	assert.Equal(t, d.TakeOutput().Answers[0].Result, Completed)
 }
+
+// TestJobThatWasSentElsewhereIsGivenUp: a dispatcher whose caller had sent the job
+// to another one went on placing its tasks, beside those of the other.
+func TestJobThatWasSentElsewhereIsGivenUp(t *testing.T) {
+	for _, outcome := range []runtable.Outcome{runtable.Stopped, runtable.NotRun} {
+		d := fleet()
+		d.Submit(ms(0), testJob(step(2, 6000)))
+		out := d.TakeOutput()
+		id, end := runEnd(out, 0, outcome, runtable.ReasonResubmitted)
+		d.RunEnded(ms(50), id, end)
+		after := d.TakeOutput()
+		assert.Equal(t, len(after.Placements), 0)
+		assert.Equal(t, after.Answers[0].Result, GivenUp)
+		assert.Equal(t, after.Answers[0].Reason, ReasonElsewhere)
+		assert.DeepEqual(t, after.Stops, []Stop{{Runner: out.Placements[1].Runner, Job: "job"}})
+		assert.Equal(t, d.Jobs(), 0)
+	}
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -146,6 +146,7 @@
 	ReasonCallerLeft = "caller_left"
 	ReasonStalled    = "dispatcher_stalled"
 	ReasonDuplicate  = "job_is_running"
+	ReasonElsewhere  = "job_sent_elsewhere"
 )
 
 // Answer is the result of a job for its caller.
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -156,6 +156,10 @@
 // Place accepts or refuses an order. An order for a run that is already in the
 // table has no effect.
 func (t *Table) Place(now time.Time, o Order) {
+	if !t.endEarlierSubmission(now, o) {
+		t.Refuse(o, ReasonResubmitted)
+		return
+	}
 	if r := t.runs[o.TaskID]; r != nil {
 		t.placeExisting(now, r, o)
 		return
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -92,6 +92,8 @@
 	ReasonSlow            = "too_slow"
 	ReasonStale           = "order_too_old"
 	ReasonNotHere         = "not_here"
+	// ReasonResubmitted means that the job was sent to another dispatcher later.
+	ReasonResubmitted = "job_sent_elsewhere"
 )
 
 // End is the end of a run.
