A runner with a new address is not dialed at its earlier one

A runner that is listed under a new address while the earlier one still leads to it would get two sessions from each dispatcher, which end each other in turn, since a link stays as long as its sessions begin.

The link to an address that is not listed any more is dropped when the same runner is listed under another address.

Evidence, failed before: TestRunnerWithANewAddressHasOneLink.

--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -70,11 +70,16 @@
 }
 
 // setWanted dials chosen runners that have no link, and records which links are
-// not chosen.
+// not chosen. Neither is the earlier address of a runner that is listed under
+// another one: two sessions of a dispatcher with one runner end each other.
 func (l *links) setWanted(listed map[string]*wirepb.Announce, wanted []subset.Peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	names := map[string]bool{}
+	for _, a := range listed {
+		names[a.Name] = true
+	}
 	chosen := map[string]bool{}
 	for _, p := range wanted {
 		chosen[p.Address] = true
@@ -83,7 +88,7 @@
 		}
 	}
 	for address, k := range l.byAddress {
-		if listed[address] == nil {
+		if listed[address] == nil && !names[k.name] {
 			continue // a missing runner may be listed again soon
 		}
 		k.listedAt = now
--- a/internal/dispatcher/links_test.go
+++ b/internal/dispatcher/links_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/runner"
 	"endivewing/internal/wire"
 )
 
@@ -56,3 +57,25 @@
 	_, lost := (<-p.events).(runnerLost)
 	assert.Assert(t, lost)
 }
+
+// TestRunnerWithANewAddressHasOneLink: a runner that was listed under a new
+// address while the earlier one still led to it had two sessions with one
+// dispatcher, which ended each other in turn.
+func TestRunnerWithANewAddressHasOneLink(t *testing.T) {
+	p := testProcess("d")
+	connects := pendingConnects{make(chan struct{}, 4)}
+	p.links.connect = connects.connect
+	t.Cleanup(p.links.close)
+	listed := func(address string) []*wirepb.Announce {
+		return []*wirepb.Announce{{Role: Role, Name: "d"}, {Role: runner.Role, Name: "r", Address: address}}
+	}
+	p.links.update(listed("127.0.0.1:1"))
+	connects.await(1)
+	p.links.mu.Lock()
+	earlier := p.links.byAddress["127.0.0.1:1"]
+	p.links.mu.Unlock()
+	assert.Assert(t, !p.links.dropUnneeded(earlier))
+	p.links.update(listed("127.0.0.1:2"))
+	connects.await(1)
+	assert.Assert(t, p.links.dropUnneeded(earlier), "the earlier address is dialed again")
+}
