Tests of the runner: the standstill tests take their reading of the clock on its own

They took it from the answer to a start, which need not be used as a reading. The checks are the same; both still fail when an ended lease asks for no list.

--- a/internal/runner/standstill_test.go
+++ b/internal/runner/standstill_test.go
@@ -46,18 +46,13 @@
 	})
 }
 
-// wakeAfterStandstill lets a run's lease pass while the runner stands still. A start
-// answers first, whose reading of the clock shows that the lease is over.
+// wakeAfterStandstill lets a run's lease pass while the runner stands still. A reading
+// of the minion's clock comes before a list and shows that the lease is over.
 func (s *steppedLoop) wakeAfterStandstill() runtable.RunID {
 	ref := s.start("a")
-	other := s.place("b")
-	assert.Assert(s.t, other != ref)
-	time.Sleep(callTimeout / 2)
-	s.handleTimer(time.Now())
-	s.began = s.began.Add(-2 * leaseDuration) // the minion's clock goes on
-	s.minion.starts[len(s.minion.starts)-1].answer <- Answer{Status: DeadlinePassed, Clock: s.minionClock()}
 	s.minion.polls = nil
-	s.step()
+	time.Sleep(2 * leaseDuration)
+	s.lease.recordClock(s.clock.now(), s.minionClock())
 	assert.Assert(s.t, s.lease.expired(time.Now()))
 	s.handleTimer(time.Now())
 	s.step()
@@ -70,7 +65,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSteppedLoop(t)
 		ref := s.wakeAfterStandstill()
-		s.dispatcher.ends = nil // that of the start that was refused
 		assert.Equal(t, s.table.OpenRuns(), 1)
 		list := take(t, &s.minion.polls)
 		list.answer <- s.doneList(ref)
@@ -84,7 +78,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSteppedLoop(t)
 		s.wakeAfterStandstill()
-		s.dispatcher.ends = nil
 		assert.Equal(t, s.table.OpenRuns(), 1)
 		s.tickFor(listTimeout + runningTickInterval)
 		assert.Equal(t, s.onlyOutcome(), wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
