--- a/internal/runtable/ends_test.go
+++ b/internal/runtable/ends_test.go
@@ -74,6 +74,22 @@
 	assert.Equal(t, tab.OpenRuns(), 0)
 }
 
+// TestNoStartIsSentAgainForAnEndedRun: a start that is due to be sent again is
+// dropped with its run, and so is a stop.
+func TestNoStartIsSentAgainForAnEndedRun(t *testing.T) {
+	tab := table(t)
+	again, stopped := order("a", 0, 1000), order("b", 0, 1000)
+	sent(t, tab, at(1), again)
+	sent(t, tab, at(2), stopped)
+	tab.StartAnswered(at(30), ref(again), Unanswered)
+	tab.Stop(at(31), stopped.Owner, stopped.TaskID, stopped.Run)
+	tab.LeaseExpired(at(1200))
+	out := tab.TakeOutput()
+	assert.Equal(t, len(out.Starts), 0)
+	assert.Equal(t, len(out.Stops), 0)
+	assert.Equal(t, len(out.Ends), 2)
+}
+
 // TestWaitingRunOfAMinionThatRestartsAtOnce: an order that came in just before a
 // restart was never sent, so it counts as not run.
 func TestWaitingRunOfAMinionThatRestartsAtOnce(t *testing.T) {
