A run that the runner does not know is stopped once per retry interval

What was seen: in the soak, 10 to 30 lists within 10 ms after a takeover, each with a stop of the same run, at a process with a quarter of a core. Cause: a list with an unknown run sent its stop again and asked for the next list at once, until the run was over (up to 50 ms). Change: the stop is sent again after the same 70 ms as other stops; the poll in progress answers when the run has ended. TestUnknownRunIsStoppedOncePerRetryInterval failed before.

--- a/internal/runtable/ends_test.go
+++ b/internal/runtable/ends_test.go
@@ -147,3 +147,28 @@
 	assert.DeepEqual(t, out.Unknown, []RunID{ref(waits)})
 	assert.DeepEqual(t, out.Stops, []RunID{ref(waits)})
 }
+
+// TestUnknownRunIsStoppedOncePerRetryInterval: each list sent a stop and asked for
+// the next list, some thousand times a second, until the run was over.
+func TestUnknownRunIsStoppedOncePerRetryInterval(t *testing.T) {
+	tab := table(t)
+	tab.MinionRestarted(at(0))
+	tab.TakeOutput()
+	unknown, other := RunID{name("old", 0), 3}, RunID{name("old", 1), 3}
+	list := func(ms int, refs ...RunID) Output {
+		l := Listing{SentAt: at(ms)}
+		for _, ref := range refs {
+			l.Running = append(l.Running, RunningRow{RunID: ref})
+		}
+		tab.ApplyListing(at(ms), l)
+		return tab.TakeOutput()
+	}
+	assert.DeepEqual(t, list(1, unknown).Stops, []RunID{unknown})
+	again := list(2, unknown, other)
+	assert.DeepEqual(t, again.Stops, []RunID{other})
+	assert.Assert(t, !again.ListNow)
+	assert.DeepEqual(t, list(75, unknown).Stops, []RunID{unknown})
+	assert.Assert(t, !tab.Ready())
+	list(76)
+	assert.Assert(t, tab.Ready())
+}
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -113,24 +113,29 @@
 	if l.full() && t.acked > ackedBefore { // the next list contains further ends
 		t.out.ListNow = true
 	}
-	t.stopForeignRuns(l.SentAt, listed)
+	t.stopForeignRuns(now, l.SentAt, listed)
 	t.lastChange = now
 }
 
 // stopForeignRuns stops runs that are not in the table: those of an earlier
-// incarnation of this process. No new task starts before they have ended.
-func (t *Table) stopForeignRuns(asked time.Time, foreign map[RunID]int) {
+// incarnation of this process. No new task starts before they have ended. The next
+// list comes with their ends, so none is asked for.
+func (t *Table) stopForeignRuns(now, asked time.Time, foreign map[RunID]int) {
 	if len(foreign) == 0 {
+		clear(t.foreignStops)
 		t.foreignRunsGone = t.foreignRunsGone || !asked.Before(t.unknownSince)
 		t.out.ListNow = t.out.ListNow || !t.foreignRunsGone
 		t.reportGone()
 		return
 	}
 	for ref := range foreign {
+		if now.Sub(t.foreignStops[ref]) < stopRetryInterval {
+			continue
+		}
+		t.foreignStops[ref] = now
 		t.out.Unknown = append(t.out.Unknown, ref)
 		t.out.Stops = append(t.out.Stops, ref)
 	}
-	t.out.ListNow = t.out.ListNow || !t.foreignRunsGone
 }
 
 func (t *Table) applyEnd(now time.Time, row EndedRow) {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -64,6 +64,8 @@
 	// unknownSince is when the minion last began anew or its lease ended, so that
 	// only a new list shows what runs there.
 	unknownSince time.Time
+	// foreignStops holds when the last stop of each foreign run was sent.
+	foreignStops map[RunID]time.Time
 	// startsDue and stopsDue are the runs whose start or stop is to be sent. A run
 	// that ends before TakeOutput drops out.
 	startsDue, stopsDue []*run
@@ -78,7 +80,9 @@
 }
 
 // New returns the table of a runner whose minion is not known yet.
-func New() *Table { return &Table{runs: map[TaskID]*run{}} }
+func New() *Table {
+	return &Table{runs: map[TaskID]*run{}, foreignStops: map[RunID]time.Time{}}
+}
 
 // TakeOutput starts the waiting runs that fit, then returns the output and clears
 // it. Runs start nowhere else, so an input that ends several runs never ends one
@@ -131,6 +135,7 @@
 func (t *Table) RequireList(now time.Time) {
 	t.foreignRunsGone = false
 	t.unknownSince = now
+	clear(t.foreignStops)
 	t.out.ListNow = true
 }
 
