Runner: ends of a later start of the minion were acknowledged unseen

What could be seen: a minion that is back at once under its name counts its ends from 1 again. The next poll acknowledged as many ends as its earlier start had had, so ends that nobody had read were forgotten, and their tasks placed again. Cause: the number of the last end belongs to a start, but a poll names only the minion. Change: after a call without an answer of the present incarnation, polls acknowledge nothing until a list of it was read. What was acknowledged before is forgotten at the minion, so nothing is returned twice. Found by review.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -71,7 +71,7 @@
 // longPoll distinguishes the polls of keepPolling from those of pollNow.
 func (l *loop) sendPoll(now time.Time, wait time.Duration, longPoll bool) {
 	l.metrics.polls.Inc(1)
-	c := PollCall{Endpoint: l.incarnation.Endpoint, Fence: l.fence, AckedEnd: l.table.Acked(), Wait: wait}
+	c := PollCall{Endpoint: l.incarnation.Endpoint, Fence: l.fence, AckedEnd: l.ackedEnd(), Wait: wait}
 	if limit := l.leaseLimit(now); limit > 0 && l.renewsLease(now) {
 		c.Deadline = l.lease.extend(now, limit)
 	}
@@ -85,6 +85,15 @@
 	})
 }
 
+// ackedEnd returns the number of the last end that a poll acknowledges. While a later
+// start of the minion may answer, it is 0: that start counts its ends from 1 again.
+func (l *loop) ackedEnd() uint64 {
+	if l.mayHaveRestarted {
+		return 0
+	}
+	return l.table.Acked()
+}
+
 // renewsLease reports whether a poll renews the lease: while tasks run at a minion that
 // can be reached.
 func (l *loop) renewsLease(now time.Time) bool {
@@ -157,6 +166,7 @@
 }
 
 func (l *loop) unanswered(now time.Time, what string, ref runtable.RunID, err error) {
+	l.mayHaveRestarted = true
 	l.lastUnanswered = now
 	l.metrics.unanswered.Inc(1)
 	l.p.opts.Log.Info("minion did not answer", "call", what, "job", ref.Job, "task", ref.Index, "run", ref.Run, "error", err.Error())
@@ -190,6 +200,7 @@
 	} else {
 		l.immediatePollActive = false
 	}
+	l.mayHaveRestarted = true
 	if a.err != nil {
 		l.metrics.unanswered.Inc(1)
 		l.lastUnanswered = now
@@ -205,6 +216,7 @@
 		l.proposeRestart(a.lists.StartedUnixMs)
 		return
 	}
+	l.mayHaveRestarted = false
 	l.lease.recordClock(now, a.lists.Clock)
 	l.table.ApplyListing(now, runtable.Listing{SentAt: a.sentAt, Running: a.lists.Running, Ended: a.lists.Ended})
 }
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -53,6 +53,9 @@
 	// order. asking reports whether it is being asked about the first.
 	candidates []*candidate
 	asking     bool
+	// mayHaveRestarted is set from a call that ended without an answer of the present
+	// incarnation until its next list.
+	mayHaveRestarted bool
 	// lastPollError is the reason of the last failed poll.
 	lastPollError string
 	// lastUnanswered is when a call to the minion last ended without a reply.
