Runs that a dispatcher asks for end also without a list of the minion

What callers would see: with a runner restarted beside a minion that is down, or after a leave, the tasks of its lost runs waited until the deadline of their job. Cause: the answer to the dispatcher's question waited for a list without unknown runs; without a minion no list ever comes. Change: it is given after 1.05 s in which no run of the table was at the minion, the longest lease that an earlier process can have left. TestLostRunsEndWithoutAMinion and TestLostRunsEndAfterALeave failed before (no end in 5 s). Found by review.

--- a/internal/runtable/confirm.go
+++ b/internal/runtable/confirm.go
@@ -20,15 +20,35 @@
 		t.out.Ends = append(t.out.Ends, gone)
 	default:
 		t.gone = append(t.gone, gone)
+		t.goneSince = now
+	}
+}
+
+// maxForeignLease is the longest time that a call of an earlier process can keep runs
+// at work: the longest lease that minions grant, on a clock that is 2% slow.
+const maxForeignLease = 1050 * time.Millisecond
+
+// checkGone reports the runs that were asked for at a minion that sends no list, once
+// their lease must have ended. Calls renew it only while the table has runs there.
+func (t *Table) checkGone(now time.Time) {
+	switch {
+	case len(t.gone) == 0:
+	case t.Running() > 0:
+		t.goneSince = now
+	case now.Sub(t.goneSince) >= maxForeignLease:
+		t.takeGone()
 	}
 }
 
 // reportGone reports the runs that were asked for, once the minion has no foreign
 // runs.
 func (t *Table) reportGone() {
-	if !t.foreignRunsGone {
-		return
+	if t.foreignRunsGone {
+		t.takeGone()
 	}
+}
+
+func (t *Table) takeGone() {
 	t.out.Ends = append(t.out.Ends, t.gone...)
 	t.gone = nil
 }
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -185,6 +185,7 @@
 
 // Tick ends runs that waited too long and repeats stops without effect.
 func (t *Table) Tick(now time.Time) {
+	t.checkGone(now)
 	for _, r := range t.sortedRuns() {
 		switch {
 		case r.state == waiting && !now.Before(r.Expires):
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -73,10 +73,12 @@
 	// zero when nothing has changed since the last output.
 	lastChange time.Time
 	// gone are the reports on runs that the table does not hold, which wait until
-	// the minion has no foreign runs.
-	gone   []End
-	health health
-	out    Output
+	// the minion has no foreign runs. goneSince is when the last one was added, or
+	// the lease may last have been renewed.
+	gone      []End
+	goneSince time.Time
+	health    health
+	out       Output
 }
 
 // New returns the table of a runner whose minion is not known yet.
