A job sent again as it is given up waits until its earlier runs have ended

What callers saw: tasks at work twice for 13 to 40 ms when a job came back to the dispatcher that had just given it up (504 and the next submission cross), and for as long as the task lasts when the end of a run of the first submission was on its way: both submissions count their runs from 1. Cause: the dispatcher forgot an answered job while runs of it were at work. Change: an answered job is kept as ending until each of its runs has ended, its lost runs included. The next submission waits for that.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +30,8 @@
 	// deterministic.
 	sortedRunners []*runner
 	jobs          map[string]*openJob
+	// ending holds the answered jobs of which runs may be at work.
+	ending map[string]*openJob
 	// queue holds the jobs with tasks to place, the most urgent first.
 	queue []*openJob
 	// lastChange is when work or free capacity last changed. It is zero when
@@ -43,7 +44,7 @@
 
 // New returns a dispatcher in an availability zone.
 func New(zone string) *Dispatcher {
-	return &Dispatcher{zone: zone, runners: map[RunnerID]*runner{}, jobs: map[string]*openJob{}}
+	return &Dispatcher{zone: zone, runners: map[RunnerID]*runner{}, jobs: map[string]*openJob{}, ending: map[string]*openJob{}}
 }
 
 // TakeOutput places waiting tasks, then returns the output and clears it. Under load
@@ -59,7 +60,7 @@
 }
 
 // Jobs returns the number of jobs that are not answered.
-func (d *Dispatcher) Jobs() int { return len(d.jobs) }
+func (d *Dispatcher) Jobs() int { return len(d.jobs) + d.heldJobs() }
 
 // WaitingJobs returns the number of jobs with tasks to place.
 func (d *Dispatcher) WaitingJobs() int { return len(d.queue) }
@@ -91,12 +92,16 @@
 // ends, immediately if it is refused.
 func (d *Dispatcher) Submit(now time.Time, j *Job) {
 	if d.jobs[j.ID] != nil {
-		d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: ReasonDuplicate, RetryAfter: minRetryAfter})
+		d.refuse(j, ReasonDuplicate, minRetryAfter)
+		return
+	}
+	if earlier := d.ending[j.ID]; earlier != nil {
+		d.hold(earlier, j)
 		return
 	}
 	o := newOpenJob(now, j)
 	if reason := d.unschedulableReason(o); reason != "" {
-		d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: reason, RetryAfter: maxRetryAfter})
+		d.refuse(j, reason, maxRetryAfter)
 		return
 	}
 	d.jobs[j.ID] = o
@@ -104,6 +109,11 @@
 	d.lastChange = now
 }
 
+// refuse answers a job that is not accepted.
+func (d *Dispatcher) refuse(j *Job, reason string, retryAfter time.Duration) {
+	d.out.Answers = append(d.out.Answers, Answer{Job: j, Result: Refused, Reason: reason, RetryAfter: retryAfter})
+}
+
 // UpdateRunner replaces the state of a runner's minion. It adds the runner if its ID
 // is new.
 func (d *Dispatcher) UpdateRunner(now time.Time, id RunnerID, status RunnerStatus) {
@@ -147,6 +157,7 @@
 		r.outstanding = max(0, r.outstanding-1)
 	}
 	if o == nil {
+		d.earlierRunEnded(now, id, e)
 		return
 	}
 	t := o.find(id, e.RunID)
@@ -209,14 +220,19 @@
 func (d *Dispatcher) Cancel(now time.Time, id string) {
 	if o := d.jobs[id]; o != nil {
 		d.answer(now, o, GivenUp, ReasonCallerLeft)
+	} else if earlier := d.ending[id]; earlier != nil {
+		d.answerHeld(now, earlier, ReasonCallerLeft)
 	}
 }
 
 // AbortAll ends all jobs after a pause of the process, during which the runners
 // have stopped them.
 func (d *Dispatcher) AbortAll(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
-		d.answer(now, d.jobs[id], GivenUp, ReasonStalled)
+	for _, o := range sortedByID(d.ending) {
+		d.answerHeld(now, o, ReasonStalled)
+	}
+	for _, o := range sortedByID(d.jobs) {
+		d.answer(now, o, GivenUp, ReasonStalled)
 	}
 }
 
@@ -225,6 +241,7 @@
 	delete(d.jobs, o.ID)
 	d.dequeue(o)
 	d.stopRuns(o)
+	d.keepUntilRunsEnd(o)
 	if result == GivenUp && reason != ReasonElsewhere && !o.mayHaveRun() {
 		result = Refused
 	}
@@ -260,8 +277,11 @@
 	}
 	if now.Sub(d.lastReview) >= reviewInterval {
 		d.lastReview = now
-		for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
-			d.review(now, d.jobs[id])
+		for _, o := range sortedByID(d.jobs) {
+			d.review(now, o)
+		}
+		for _, o := range sortedByID(d.ending) {
+			d.reviewEnding(now, o)
 		}
 	}
 	d.lastChange = now
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -71,6 +71,9 @@
 	// hasRun is set once a run has ended other than as not run, or its outcome
 	// is unknown.
 	hasRun bool
+	// next is a later submission of the job, which waits until no run of this one is
+	// left; nil if there is none.
+	next *Job
 }
 
 // mayHaveRun reports whether a task has run or may have run.
--- a/internal/dispatch/lost.go
+++ b/internal/dispatch/lost.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -30,7 +29,7 @@
 	}
 	delete(d.runners, id)
 	d.sortedRunners = slices.DeleteFunc(d.sortedRunners, func(r *runner) bool { return r.id == id })
-	for _, o := range d.jobs {
+	for _, o := range d.jobsWithRuns() {
 		for _, tasks := range o.tasks {
 			for i := range tasks {
 				if t := &tasks[i]; t.mayRunAt(id) {
@@ -63,8 +62,7 @@
 // awaited however long it takes: a connected runner that does not answer can't
 // end them yet.
 func (d *Dispatcher) askForLostRuns(r *runner) {
-	for _, key := range slices.Sorted(maps.Keys(d.jobs)) {
-		o := d.jobs[key]
+	for _, o := range d.jobsWithRuns() {
 		for step := range o.tasks {
 			if runs := o.askFor(step, r); len(runs) > 0 {
 				d.out.Stops = append(d.out.Stops, Stop{Runner: r.id, Job: o.ID, Step: step, Runs: runs})
