Runner: a run at a later start of the minion could stay for ever

What operators would see: capacity that stays taken, and a stop of the runner that waits for its timeout. Cause: a new incarnation begins without a known lease, and a lease that was never given does not end. If no poll may renew it (the dispatcher is gone) and the minion answers nothing more, no list and no lease ends the run. Change: with runs left, a new incarnation begins with the longest lease that a minion grants. Found by review.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -156,6 +156,9 @@
 	l.longPolls, l.immediatePollActive = 0, false
 	l.lease.reset()
 	l.lease.recordClock(now, clock)
+	if l.table.Running() > 0 {
+		l.lease.assumeLongest() // a start that was in flight may have been carried out
+	}
 	l.fence++ // so that the minion refuses calls that are in flight to the earlier incarnation
 	l.table.MinionRestarted(now)
 	l.p.announceIfChanged(&r)
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -43,6 +43,12 @@
 // reset clears the lease when a new incarnation of the minion begins.
 func (s *lease) reset() { *s = lease{} }
 
+// assumeLongest assumes the longest lease that the minion can have granted, for
+// runs that it may have without a call that is known.
+func (s *lease) assumeLongest() {
+	s.latestDeadline = s.clock + maxGrantedLease.Milliseconds()
+}
+
 // minClock returns a lower bound of the present reading of the minion's clock,
 // in milliseconds.
 func (s *lease) minClock(now time.Time) int64 {
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -22,6 +22,8 @@
 
 	// leaseDuration is the lease that a call asks for. Minions grant at most 1 s.
 	leaseDuration = 900 * time.Millisecond
+	// maxGrantedLease is the longest lease that minions grant.
+	maxGrantedLease = time.Second
 	// pollWait is how long a poll waits at the minion for a run to end. A lease
 	// lasts for several polls.
 	pollWait = 100 * time.Millisecond
