Runner: new runs got the lease of a run that is to be stopped

What callers saw (by test): while a minion did not answer the stop of one run, starts of other runs went out with a lease of a few milliseconds or a deadline in the past, were refused as late and placed there again. Cause: one lease holds for all runs at a minion, and the run that must be over first limits it. Change: the runner takes no new work while the lease may be given for less than half of its usual length. TestNewRunsGotTheLeaseOfARunToBeStopped failed before. Found by review.

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -245,8 +245,14 @@
 		l.p.opts.Log.Info("minion reachable", "endpoint", l.incarnation.Endpoint, "reachable", responsive,
 			"silent_ms", now.Sub(l.lease.recordedAt).Milliseconds(), "last_error", l.lastPollError)
 	}
-	ready := l.incarnation.known() && !l.incarnation.Draining && !l.stopping && l.lease.reachable(now)
-	l.table.UpdateMinion(now, l.incarnation.Capacity, ready)
+	l.table.UpdateMinion(now, l.incarnation.Capacity, l.mayStartRuns(now))
+}
+
+// mayStartRuns reports whether new runs may start: at a minion that takes work, can be
+// reached and may be given a lease that is long enough.
+func (l *loop) mayStartRuns(now time.Time) bool {
+	takesWork := l.incarnation.known() && !l.incarnation.Draining && !l.stopping
+	return takesWork && l.lease.reachable(now) && l.leaseLimit(now) >= minStartLease
 }
 
 // flush carries out the output of the table and sends reports.
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -24,6 +24,9 @@
 	leaseDuration = 900 * time.Millisecond
 	// maxGrantedLease is the longest lease that minions grant.
 	maxGrantedLease = time.Second
+	// minStartLease is the lease that a new run must get at least, so that it doesn't
+	// end with a run that is to be over soon.
+	minStartLease = leaseDuration / 2
 	// pollWait is how long a poll waits at the minion for a run to end. A lease
 	// lasts for several polls.
 	pollWait = 100 * time.Millisecond
