Dispatcher: a runner is known by the name of its session

What could happen: a runner that took over the address of another one was asked for that one's lost runs, said at once that it has none, and the tasks were placed again while they were at work. Change: it comes from the hello of the session.

--- a/internal/dispatcher/links_test.go
+++ b/internal/dispatcher/links_test.go
@@ -79,3 +79,23 @@
 	connects.await(1)
 	assert.Assert(t, p.links.dropUnneeded(earlier), "the earlier address is dialed again")
 }
+
+// TestAnotherRunnerAtAnAddressIsNotAskedForLostRuns: a runner that took over the
+// address of another one was asked for that one's runs, and had none of them.
+func TestAnotherRunnerAtAnAddressIsNotAskedForLostRuns(t *testing.T) {
+	listener, err := wire.Listen("127.0.0.1:0", wire.Options{
+		Hello:   func() *wirepb.Hello { return &wirepb.Hello{Role: "runner", Name: "later", Cluster: "c"} },
+		Handler: func(*wire.Session, *wirepb.Envelope) {},
+		Log:     logr.Discard(),
+	})
+	assert.NilError(t, err)
+	go listener.Serve()
+	t.Cleanup(listener.Close)
+	s, err := wire.Dial(t.Context(), listener.Address(), wire.Options{
+		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: Role, Name: "d", Cluster: "c"} }, Log: logr.Discard(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	at := &session{wire: s, link: &link{name: "earlier"}}
+	assert.Equal(t, at.runnerName(), "later")
+}
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -53,6 +53,15 @@
 	return s.reportStamp + (now - s.reportedAt).Milliseconds()
 }
 
+// runnerName returns the name that the runner gave in this session. Another runner may
+// have taken over the address since it was listed.
+func (s *session) runnerName() string {
+	if name := s.wire.Peer().GetName(); name != "" {
+		return name
+	}
+	return s.link.name
+}
+
 type loopMetrics struct {
 	scope                 tally.Scope
 	tasksPlaced           tally.Counter
