Members: many large changes let the process grow beyond its memory

Members ended by themselves (memory over the limit) while large configurations were sent and disks were full in turn.

Cause: only dispatchers passed their memory to the Go runtime.

Why it works: near its share of the memory the runtime collects garbage more often.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -71,6 +71,7 @@
 
 func (n *Node) startMember(ctx context.Context) (err error) {
 	s := n.settings
+	limitMemory(s)
 	n.fleet.member, err = controlmember.Start(ctx, controlmember.Options{
 		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone,
 		Address: s.Fleet.SessionAddress(), ListenAddress: s.Fleet.ListenAddress(),
@@ -88,9 +89,7 @@
 func (n *Node) startDispatcher() error {
 	s := n.settings
 	debug.SetGCPercent(dispatcherGCPercent)
-	if s.Fleet.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Fleet.Memory) * memoryLimitShare))
-	}
+	limitMemory(s)
 	scope := n.metrics.Scope.SubScope(config.RoleDispatcher)
 	n.fleet.dispatcher = dispatcher.Start(dispatcher.Options{
 		Cluster: s.Cluster, Name: s.Name, Zone: s.Zone, Seeds: s.Fleet.SeedSessionAddresses(),
@@ -104,6 +103,14 @@
 	return n.serve("callers", s.Fleet.Callers, front.Handler())
 }
 
+// limitMemory sets the memory limit of the Go runtime by the memory that the settings
+// allow the process.
+func limitMemory(s *config.Settings) {
+	if s.Fleet.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Fleet.Memory) * memoryLimitShare))
+	}
+}
+
 func (n *Node) startRunner() (err error) {
 	s := n.settings
 	n.fleet.runner, err = runner.Start(runner.Options{
