--- a/internal/control/snapshot_full_test.go
+++ b/internal/control/snapshot_full_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
 
 	"endivewing/internal/disk"
 )
@@ -35,3 +36,27 @@
 		return len(files) > 0
 	})
 }
+
+// TestLeaderWithoutRoomForASnapshotRefusedChanges: a leader whose log has to be shortened
+// first, and whose disk has no room for that, must let another member lead.
+func TestLeaderWithoutRoomForASnapshotRefusedChanges(t *testing.T) {
+	var full atomic.Pointer[string]
+	t.Cleanup(disk.InjectFaults(func(o disk.Operation, path string) error {
+		if dir := full.Load(); dir != nil && o == disk.Create && strings.HasPrefix(path, filepath.Join(*dir, "snapshots")) {
+			return unix.ENOSPC
+		}
+		return nil
+	}))
+	c := startCluster(t, 3, func(o *Options) { o.SnapshotBytes = 2000 })
+	client := c.client()
+	owner := register(t, client, "a")
+	c.waitCaughtUp()
+	leader := c.leader()
+	dir := c.dirs[leader]
+	full.Store(&dir)
+	jobs := acceptSome(t, client, owner, "s", 300)
+	assert.Assert(t, c.leader() != leader)
+	full.Store(nil)
+	c.waitCaughtUp()
+	assertJobs(t, client, jobs)
+}
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -109,6 +109,9 @@
 		}
 		l.opts.Log.Error(s.err, "snapshot not written")
 		l.snapshots.retryAt = time.Now().Add(snapshotWriteBackoff)
+		if l.snapshots.overdue(l.opts.SnapshotBytes) {
+			l.core.TransferLeader(0) // this member refuses changes meanwhile
+		}
 		return
 	}
 	if s.index <= l.snapshots.lastIndex {
