A done run of an earlier runner process is not run again; jobs are sent again in the model

What was seen (by test): after a restart of a runner, a run that its dispatcher asked for and that the minion's first list names as done was reported as stopped, and run again. No rule is broken by that; the work is thrown away. The list now gives the run its end. TestDoneRunOfAnEarlierProcessIsNotRunAgain failed before.

--- a/internal/dispatch/exclusion_test.go
+++ b/internal/dispatch/exclusion_test.go
@@ -137,8 +137,12 @@
 		return
 	}
 	w.jobs++
+	id := w.jobs
+	if w.rand.IntN(3) == 0 {
+		id = 1 + w.rand.IntN(w.jobs)
+	}
 	j := &Job{
-		ID: fmt.Sprint("job", w.jobs), Service: "s", MaxAttempts: 3, Arrived: w.now, Deadline: w.now.Add(time.Minute),
+		ID: fmt.Sprint("job", id), Service: "s", MaxAttempts: 3, Arrived: w.now, Deadline: w.now.Add(time.Minute),
 		Steps: []Step{step(1+w.rand.IntN(3), 2000)},
 	}
 	j.SetObjective(2, 10*time.Second)
--- a/internal/runtable/confirm.go
+++ b/internal/runtable/confirm.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// goneEnded gives a run that was asked for the end that the minion lists.
+func (t *Table) goneEnded(row EndedRow) {
+	for i := range t.gone {
+		if end := &t.gone[i]; end.TaskID == row.TaskID && end.Run == row.Run {
+			end.Outcome, end.Reason = row.Outcome, row.Reason
+		}
+	}
+}
+
 // reportGone reports the runs that were asked for, once the minion has no foreign
 // runs.
 func (t *Table) reportGone() {
--- a/internal/runtable/confirm_test.go
+++ b/internal/runtable/confirm_test.go
@@ -60,3 +60,15 @@
 	assert.Equal(t, ends[1].Owner, Owner(2))
 	assert.Equal(t, ends[1].Reason, ReasonNotHere)
 }
+
+// TestDoneRunOfAnEarlierProcessIsNotRunAgain: the list that shows that no foreign run
+// is left says that the run that was asked for is done; it was reported as stopped.
+func TestDoneRunOfAnEarlierProcessIsNotRunAgain(t *testing.T) {
+	tab := New()
+	asked := RunID{name("a", 0), 1}
+	tab.ConfirmEnd(at(0), 1, asked)
+	tab.MinionRestarted(at(0))
+	tab.UpdateMinion(at(0), Need{CPU: 10_000}, true)
+	tab.ApplyListing(at(2), Listing{SentAt: at(1), Ended: []EndedRow{{RunID: asked, Number: 1, Outcome: Done}}})
+	assert.Equal(t, onlyEnd(t, tab).Outcome, Done)
+}
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -141,6 +141,7 @@
 func (t *Table) applyEnd(now time.Time, row EndedRow) {
 	r := t.find(row.RunID)
 	if r == nil {
+		t.goneEnded(row)
 		return
 	}
 	switch {
