Runner: a start on its way could be carried out after its lease had ended

By reading (review): a run counts as over with its lease, since the minion refuses a start whose deadline has passed. A minion that judges by the lease of a later call instead would carry it out. The token is raised when a lease ends, so that such a start is refused either way. TestRunsOfAnEndedLeaseEndWithoutAList demands it and failed before.

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -234,6 +234,7 @@
 		return
 	}
 	l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
+	l.fence++ // so that the minion refuses a start that is still on its way
 	l.table.LeaseExpired(now)
 }
 
