--- a/internal/runner/standstill_test.go
+++ b/internal/runner/standstill_test.go
@@ -79,7 +79,9 @@
 		s := newSteppedLoop(t)
 		s.wakeAfterStandstill()
 		assert.Equal(t, s.table.OpenRuns(), 1)
+		fence := s.fence
 		s.tickFor(listTimeout + runningTickInterval)
+		assert.Assert(t, s.fence > fence, "a start that is on its way could still be carried out")
 		assert.Equal(t, s.onlyOutcome(), wirepb.RunOutcome_RUN_OUTCOME_STOPPED)
 	})
 }
