Runner: names and comments that a newcomer stumbled over

leaseLimit no longer forgets dispatchers beside answering; that is a step of the tick. Comments of extend, Report, minionRestarted and FatalError say what they do. No decision changes; tests of runner, runtable and wal pass.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -62,8 +62,8 @@
 }
 
 // extend returns the deadline of a lease of the given length for a call, in
-// milliseconds on the minion's clock. The deadline counts even if no reply comes, because the minion may have
-// executed the call.
+// milliseconds on the minion's clock, and records it. The deadline counts even if
+// no reply comes, because the minion may have executed the call.
 func (s *lease) extend(now time.Time, length time.Duration) int64 {
 	deadline := s.minClock(now) + length.Milliseconds()
 	s.latestDeadline = max(s.latestDeadline, deadline)
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -216,6 +216,7 @@
 	l.lease.observe(now)
 	l.checkLease(now)
 	l.table.Tick(now)
+	l.forgetSilences()
 	l.updateReadiness(now)
 }
 
--- a/internal/runner/process.go
+++ b/internal/runner/process.go
@@ -102,9 +102,9 @@
 
 func (p *Process) onClosed(s *wire.Session) { p.enqueue(dispatcherDisconnected{s}) }
 
-// Report applies a report of the minion. It returns once the report is in effect,
-// ctx is done or the runner has stopped. The report of another incarnation than the
-// present one takes effect when the minion confirms it.
+// Report applies a report of the minion. It returns once the report was handled, ctx
+// is done or the runner has stopped. The report of another incarnation than the
+// present one takes effect later, when the minion confirms it.
 func (p *Process) Report(ctx context.Context, r Report) {
 	done := make(chan struct{})
 	p.enqueue(reportReceived{r, done})
--- a/internal/runner/silence.go
+++ b/internal/runner/silence.go
@@ -9,12 +9,16 @@
 // leaseLimit returns for how long a call may renew the lease. One lease holds for all
 // runs, so the run that must be over first limits it.
 func (l *loop) leaseLimit(now time.Time) time.Duration {
+	return min(leaseDuration, l.table.LeaseLimit(now, l.silenceOf))
+}
+
+// forgetSilences forgets the dispatchers that have no runs here any more.
+func (l *loop) forgetSilences() {
 	for owner := range l.silences {
 		if !l.table.HoldsRunsOf(owner) {
 			delete(l.silences, owner)
 		}
 	}
-	return min(leaseDuration, l.table.LeaseLimit(now, l.silenceOf))
 }
 
 // silenceOf returns the time since a dispatcher was last heard, also after its session
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -141,15 +141,17 @@
 	t.out.ListNow = true
 }
 
-// minionRestarted leaves it to the next list whether the run has ended.
+// minionRestarted leaves it to the next list whether the run has ended. The restart
+// stands for the answer to a stop: the earlier incarnation runs nothing any more, and
+// the later one refuses the run's start once it has received that list's request.
 func (r *run) minionRestarted(now time.Time) {
 	if r.state != stopping {
 		r.state = stopping
 		r.stopReason = ReasonMinionGone
 	}
 	r.stopAnsweredAt = now
-	r.stopSentAt = time.Time{} // the later incarnation has received none
-	r.listed = true            // the earlier one may have run it
+	r.stopSentAt = time.Time{} // the later incarnation has received no stop
+	r.listed = true            // the earlier incarnation may have run it
 }
 
 // LeaseExpired handles the end of the lease of all runs at the minion: every run that
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -35,8 +35,8 @@
 }
 
 // FatalError reports that the state of the disk is unknown, as after a sync that
-// failed although the disk was not full. The process must end, because a later sync may succeed although pages
-// were lost.
+// failed although the disk was not full. The process must end, because a later sync
+// may succeed although pages were lost.
 type FatalError struct {
 	File string
 	Op   string
