Test that the runs of a lost dispatcher are stopped at once

Found by a planted fault that no test noticed any more: without the stop, the lease that is limited by the dispatcher's silence ends the runs, later. With the fault planted the new test fails.

--- a/internal/runner/silence_test.go
+++ b/internal/runner/silence_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"endivewing/internal/runtable"
+	"endivewing/internal/wire"
 )
 
 // callerReturns is the time after which a caller without an answer sends its job
@@ -108,3 +109,17 @@
 		assert.Equal(t, m.leaseLimit(time.Now()), leaseDuration)
 	})
 }
+
+// TestLostDispatchersRunsWaitedForTheirLease: the runs of a dispatcher are stopped when its
+// session has ended, not only by the lease that its silence limits.
+func TestLostDispatchersRunsWaitedForTheirLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSteppedLoop(t)
+		ref := s.start("a")
+		s.dispatcher.session = new(wire.Session)
+		s.dispatchers[s.dispatcher.session] = s.dispatcher
+		dispatcherDisconnected{s.dispatcher.session}.handle(s.loop, s.clock.now())
+		s.step()
+		assert.Equal(t, take(t, &s.minion.stops).call.RunID, ref)
+	})
+}
