--- a/internal/runner/clock_test.go
+++ b/internal/runner/clock_test.go
@@ -15,7 +15,7 @@
 		s := newSteppedLoop(t)
 		ref := s.place("a")
 		time.Sleep(2 * callTimeout) // the start stays unanswered
-		s.table.Stop(s.clock.now(), 1, ref.TaskID, ref.Run)
+		s.table.ConfirmEnd(s.clock.now(), 1, ref)
 		s.step()
 		s.minion.polls = nil
 		s.pollNow(s.clock.now())
--- a/internal/runtable/property_test.go
+++ b/internal/runtable/property_test.go
@@ -345,6 +345,13 @@
 	assert.Equal(w.t, w.table.Free(), Need{CPU: workloadCPU})
 }
 
+// stopRun stops the run of a task if it belongs to the owner.
+func (w *workload) stopRun(owner Owner, name TaskID) {
+	if r := w.table.runs[name]; r != nil && r.Owner == owner && !r.ownerGone {
+		w.table.ConfirmEnd(w.now, owner, RunID{name, r.Run})
+	}
+}
+
 // step performs one random action at a time of its own.
 func (w *workload) step() {
 	w.now = w.now.Add(1)
@@ -352,7 +359,7 @@
 	case 0, 1, 2:
 		w.place()
 	case 3:
-		w.table.Stop(w.now, w.owner(), w.task(), 0)
+		w.stopRun(w.owner(), w.task())
 	case 4:
 		w.table.StopJob(w.now, w.owner(), "j")
 	case 5:
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -267,15 +267,6 @@
 	return End{TaskID: o.TaskID, Run: o.Run, Owner: o.Owner, Outcome: NotRun, Reason: reason}
 }
 
-// Stop ends a run of an owner. The number 0 stands for any run of the task.
-func (t *Table) Stop(now time.Time, owner Owner, name TaskID, number uint32) {
-	r := t.runs[name]
-	if r == nil || r.Owner != owner || number != 0 && r.Run != number {
-		return
-	}
-	t.stop(now, r, ReasonStopped)
-}
-
 // StopJob ends all runs of a job for an owner.
 func (t *Table) StopJob(now time.Time, owner Owner, job string) {
 	for _, r := range t.sortedRuns() {
--- a/internal/runtable/table_test.go
+++ b/internal/runtable/table_test.go
@@ -69,7 +69,7 @@
 	// Capacity is free when the end is listed, not when the stop is sent.
 	tab.StartAnswered(at(2), ref(out.Starts[0]), Started)
 	tab.StartAnswered(at(2), ref(out.Starts[1]), Started)
-	tab.Stop(at(3), 1, out.Starts[0].TaskID, 1)
+	tab.ConfirmEnd(at(3), 1, RunID{out.Starts[0].TaskID, 1})
 	tab.StopAnswered(at(4), ref(out.Starts[0]))
 	assert.Equal(t, len(tab.TakeOutput().Starts), 0)
 	tab.ApplyListing(at(6), Listing{
@@ -282,7 +282,7 @@
 	tab := table(t)
 	o := order("a", 0, 1000)
 	started(t, tab, at(1), o)
-	tab.Stop(at(2), 1, o.TaskID, 1)
+	tab.ConfirmEnd(at(2), 1, RunID{o.TaskID, 1})
 	tab.StopAnswered(at(3), ref(o))
 	tab.MinionRestarted(at(5))
 	tab.TakeOutput()
@@ -416,6 +416,6 @@
 	tab.Place(at(3), order("waits", 0, 1000))
 	assert.Assert(t, tab.InTransition())
 	tab.Tick(at(60_000))
-	tab.Stop(at(60_001), 1, o.TaskID, 1)
+	tab.ConfirmEnd(at(60_001), 1, RunID{o.TaskID, 1})
 	assert.Assert(t, tab.InTransition())
 }
