--- a/api/generate.go
+++ b/api/generate.go
@@ -2,4 +2,4 @@
 // system exchange. The generated code is committed next to them.
 package api
 
-//go:generate sh -c "protoc -I . --go_out=.. --go_opt=module=endivewing endivewing/v1/*.proto"
+//go:generate go tool -modfile=../.ci/generate.mod buf generate
