Runner: a list of the minion that was overtaken no longer counts

The line stands for a run that the runner does not know, so it hides the real ones, and each time a stop goes out.

Cause: after an unanswered call two long polls are in flight for 2 s. Their answers may overtake each other; the one that arrives last is then the older one and still contains runs whose end has just been taken in. Evidence (trial with every list logged): the list with clock 4585230 came 4 ms after that with 4585232, which had ended the run.

Change: an answer with an earlier clock than the last list's is left out, if it was asked for before that list arrived. One that was asked for later counts whatever its clock says, so an odd clock can't shut out all later lists.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -217,10 +217,30 @@
 		return
 	}
 	l.mayHaveRestarted = false
+	if l.lastList.isLaterThan(a) {
+		return
+	}
+	l.lastList = listTimes{arrivedAt: now, clock: a.lists.Clock}
 	l.lease.recordClock(now, a.lists.Clock)
 	l.table.ApplyListing(now, runtable.Listing{SentAt: a.sentAt, Running: a.lists.Running, Ended: a.lists.Ended})
 }
 
+// listTimes tells when the last list of the present incarnation was written and
+// when it arrived.
+type listTimes struct {
+	arrivedAt time.Time
+	// clock is the reading of the minion's clock in the list, in milliseconds.
+	clock int64
+}
+
+// isLaterThan reports whether the answer of a poll was written before the last list
+// and overtaken by it. Runs that have ended since are still at work in such a list.
+// An answer that was asked for after the last list had arrived is never overtaken,
+// whatever its clock says.
+func (t listTimes) isLaterThan(a pollAnswered) bool {
+	return a.sentAt.Before(t.arrivedAt) && a.lists.Clock < t.clock
+}
+
 // proposeRestart handles a list of another start of the minion under the same name.
 // What that start can run is not known before its report: it takes no work until
 // then.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -154,6 +154,7 @@
 		"before", l.incarnation.Endpoint, "before_born", l.incarnation.StartedUnixMs, "runs", l.table.Running())
 	l.incarnation = incarnation{Report: r, number: l.incarnation.number + 1}
 	l.longPolls, l.immediatePollActive = 0, false
+	l.lastList = listTimes{}
 	l.lease.reset()
 	l.lease.recordClock(now, clock)
 	if l.table.Running() > 0 {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -56,6 +56,8 @@
 	// mayHaveRestarted is set from a call that ended without an answer of the present
 	// incarnation until its next list.
 	mayHaveRestarted bool
+	// lastList is when the last list of the present incarnation was written.
+	lastList listTimes
 	// lastPollError is the reason of the last failed poll.
 	lastPollError string
 	// lastUnanswered is when a call to the minion last ended without a reply.
