--- a/internal/runner/overtaken_test.go
+++ b/internal/runner/overtaken_test.go
@@ -20,13 +20,13 @@
 		time.Sleep(20 * time.Millisecond)
 		clock := s.minionClock()
 		ended := runtable.EndedRow{RunID: ref, Number: 1, Outcome: runtable.Done}
-		s.list(asked, clock, nil, []runtable.EndedRow{ended})
+		s.listAt(asked, clock, nil, []runtable.EndedRow{ended})
 		assert.Equal(t, s.table.OpenRuns(), 0)
 
-		s.list(asked, clock-5, []runtable.RunID{ref}, nil)
+		s.listAt(asked, clock-5, []runtable.RunID{ref}, nil)
 		assert.Equal(t, len(s.table.TakeOutput().Unknown), 0)
 
-		s.list(s.clock.now(), clock+5, []runtable.RunID{ref}, nil)
+		s.listAt(s.clock.now(), clock+5, []runtable.RunID{ref}, nil)
 		assert.Equal(t, len(s.table.TakeOutput().Unknown), 1, "a later list that contains the run is no mistake")
 	})
 }
@@ -36,15 +36,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSteppedLoop(t)
 		ref := s.start("a")
-		s.list(s.clock.now(), s.minionClock()+1_000_000, []runtable.RunID{ref}, nil)
+		s.listAt(s.clock.now(), s.minionClock()+1_000_000, []runtable.RunID{ref}, nil)
 		time.Sleep(20 * time.Millisecond)
-		s.list(s.clock.now(), s.minionClock(), nil, []runtable.EndedRow{{RunID: ref, Number: 1, Outcome: runtable.Done}})
+		s.listAt(s.clock.now(), s.minionClock(), nil, []runtable.EndedRow{{RunID: ref, Number: 1, Outcome: runtable.Done}})
 		assert.Equal(t, s.table.OpenRuns(), 0)
 	})
 }
 
-// list handles the answer to a poll that was sent at a time.
-func (s *steppedLoop) list(asked time.Time, clock int64, running []runtable.RunID, ended []runtable.EndedRow) {
+// listAt handles the answer to a poll that was sent at a time.
+func (s *steppedLoop) listAt(asked time.Time, clock int64, running []runtable.RunID, ended []runtable.EndedRow) {
 	lists := PollAnswer{Answer: Answer{Status: Accepted, Clock: clock}, StartedUnixMs: 10, Ended: ended}
 	for _, ref := range running {
 		lists.Running = append(lists.Running, runtable.RunningRow{RunID: ref, Percent: 1})
