Runtable: orders that never fit a minion that shrank are refused at once

Cause: a minion's capacity may shrink while it runs. An order larger than what was left waited up to 40 ms and held back the orders behind it. Change: such orders go back as larger_than_minion with the report.

--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -170,9 +170,10 @@
 	t.capacity = capacity
 	t.ready = ready
 	if !ready {
-		t.refuseWaiting(now)
+		t.refuseWaiting(now, ReasonNotReady, func(*run) bool { return true })
 		return
 	}
+	t.refuseWaiting(now, ReasonTooLarge, func(r *run) bool { return !r.Need.Fits(capacity) })
 	t.lastChange = now
 }
 
@@ -346,9 +347,12 @@
 	t.lastChange = now
 }
 
-func (t *Table) refuseWaiting(now time.Time) {
+// refuseWaiting refuses the waiting runs that the condition holds for.
+func (t *Table) refuseWaiting(now time.Time, reason string, holds func(*run) bool) {
 	for _, r := range slices.Clone(t.queue) {
-		t.finish(now, r, NotRun, ReasonNotReady)
+		if holds(r) {
+			t.finish(now, r, NotRun, reason)
+		}
 	}
 }
 
