--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -304,3 +304,20 @@
 	b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{7, 1}, Result: []byte("r")})
 	assert.Assert(t, b.g.SafeToLeave())
 }
+
+// TestTaskReportedAsStartedMayStillNotRun asks for a task while the agent dials its
+// minion, which is down.
+func TestTaskReportedAsStartedMayStillNotRun(t *testing.T) {
+	b := newTestbed(t, testLimits())
+	b.start(1, 1)
+	b.settle()
+	b.query(1, 1)
+	b.wantUpdate(1, 1, started, ReasonNone)
+	b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{7, 1}, Kind: EndUnsent, Reason: ReasonMinionDown})
+	b.wantUpdate(1, 1, notRun, ReasonMinionDown)
+	b.start(1, 1)
+	b.wantUpdate(1, 1, notRun, ReasonMinionDown)
+	b.start(1, 2)
+	started, _ := b.settle()
+	assert.DeepEqual(t, started, []uint32{1})
+}
