The simulated minion can be crashed by a task, and scripts show what becomes of it

What callers saw: nothing yet; nobody had played a task that crashes its minion on the stored path.

Change: a payload with crash_ms makes the simulated minion drop its connections at the end of the run time and come back empty, under the same address, after that time.

--- a/internal/fakeminion/fakeminion.go
+++ b/internal/fakeminion/fakeminion.go
@@ -58,15 +58,18 @@
 // Minion is a running simulated minion. Its methods are safe for concurrent use.
 type Minion struct {
 	opts     Options
-	server   *http.Server
-	listen   net.Listener
+	address  string
 	recorder *recorder
 
 	running  atomic.Int64
 	starts   atomic.Int64
 	handlers sync.WaitGroup
+	restarts sync.WaitGroup
+	stopOnce sync.Once
+	stopped  chan struct{} // closed by Stop
 
 	mu     sync.Mutex
+	server *http.Server  // nil from a crash until the minion is back
 	thawed chan struct{} // closed while the minion is not frozen
 }
 
@@ -88,10 +91,12 @@
 		rec.close()
 		return nil, eris.Wrapf(err, "listen on %s", opts.Listen)
 	}
-	m := &Minion{opts: opts, listen: l, recorder: rec, thawed: make(chan struct{})}
+	m := &Minion{
+		opts: opts, address: l.Addr().String(), recorder: rec,
+		stopped: make(chan struct{}), thawed: make(chan struct{}),
+	}
 	close(m.thawed)
-	m.server = &http.Server{Handler: m.routes(), ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = m.server.Serve(l) }()
+	m.serve(l)
 	return m, nil
 }
 
@@ -109,7 +114,7 @@
 }
 
 // Address returns the host and port that the minion listens on.
-func (m *Minion) Address() string { return m.listen.Addr().String() }
+func (m *Minion) Address() string { return m.address }
 
 // URL returns the base URL of the minion.
 func (m *Minion) URL() string { return "http://" + m.Address() }
@@ -146,16 +151,33 @@
 // Stop closes all connections at once, as a crash of the process would, and
 // closes the record file. Running tasks are recorded as stopped.
 func (m *Minion) Stop() {
-	_ = m.server.Close()
-	m.handlers.Wait()
+	m.stopOnce.Do(func() { close(m.stopped) })
+	m.closeServer()
+	// A crash shortly before may have started a server since.
+	m.restarts.Wait()
+	m.closeServer()
 	m.recorder.close()
 }
 
+// closeServer closes the listener and all connections, and waits for their handlers.
+func (m *Minion) closeServer() {
+	if server := m.takeServer(); server != nil {
+		_ = server.Close()
+	}
+	m.handlers.Wait()
+}
+
 // Shutdown accepts no new requests and waits until the running tasks have ended
 // or the context is done. Then it calls Stop. It returns the context's error if
 // tasks were still running.
 func (m *Minion) Shutdown(ctx context.Context) error {
-	err := m.server.Shutdown(ctx)
+	m.mu.Lock()
+	server := m.server
+	m.mu.Unlock()
+	var err error
+	if server != nil {
+		err = server.Shutdown(ctx)
+	}
 	m.Stop()
 	return err
 }
--- a/internal/fakeminion/fakeminion_test.go
+++ b/internal/fakeminion/fakeminion_test.go
@@ -150,3 +150,36 @@
 	assert.Assert(t, countFailures(1) != countFailures(2))
 	assert.Assert(t, countFailures(1) > 2300 && countFailures(1) < 2700)
 }
+
+func TestTaskCrashesTheMinionWhichComesBackEmpty(t *testing.T) {
+	f := startFixture(t, Options{Slots: 2})
+	innocent := make(chan error, 1)
+	go func() {
+		_, _, err := f.postTask(context.Background(), 1, `{"sleep_ms":60000}`)
+		innocent <- err
+	}()
+	waitForEvents(t, f, EventStart)
+	_, _, err := f.postTask(context.Background(), 2, `{"crash_ms":1}`)
+	assert.ErrorContains(t, err, "EOF")
+	assert.Assert(t, <-innocent != nil)
+	waitForEvents(t, f, EventStart, EventStart, EventCrash, EventStopped)
+	address := f.Address()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		status, _, err := f.postTask(context.Background(), 3, "x")
+		if err != nil || status != http.StatusOK {
+			return poll.Continue("the minion is not back: %v, %d", err, status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(2*time.Millisecond))
+	assert.Equal(t, f.Address(), address)
+	assert.Equal(t, f.RunningTasks(), 0)
+}
+
+func TestMinionIsStoppedWhileItIsDown(t *testing.T) {
+	f := startFixture(t, Options{})
+	_, _, err := f.postTask(context.Background(), 1, `{"crash_ms":60000}`)
+	assert.ErrorContains(t, err, "EOF")
+	_, _, err = f.postTask(context.Background(), 2, "x")
+	assert.ErrorContains(t, err, "refused")
+	assert.DeepEqual(t, f.recordedEvents(t), []Event{EventStart, EventCrash})
+}
--- a/internal/fakeminion/record.go
+++ b/internal/fakeminion/record.go
@@ -25,6 +25,9 @@
 	// EventStopped is recorded when the request was cancelled or its
 	// connection was closed while the task ran.
 	EventStopped Event = "stopped"
+	// EventCrash is recorded before the task makes the minion crash. The other tasks
+	// that run there are recorded as stopped.
+	EventCrash Event = "crash"
 	// EventRefused is recorded when no slot is free. The task is not started.
 	EventRefused Event = "refused"
 )
--- a/internal/fakeminion/task.go
+++ b/internal/fakeminion/task.go
@@ -27,6 +27,10 @@
 	Echo string `json:"echo,omitempty"`
 	// Fail makes the task end with status 500.
 	Fail bool `json:"fail,omitempty"`
+	// CrashMS makes the minion crash at the end of the run time and come back
+	// after this many milliseconds. It drops all connections, so no task that runs
+	// there has a result. 0 means no crash.
+	CrashMS float64 `json:"crash_ms,omitempty"`
 	// ResultBytes pads a shorter result with dots to this length in bytes.
 	ResultBytes int `json:"result_bytes,omitempty"`
 }
@@ -82,7 +86,9 @@
 // serveTask runs one task. The start is recorded before the task begins to run,
 // and the end before the response is sent.
 func (m *Minion) serveTask(c echo.Context) error {
-	m.handlers.Add(1)
+	if !m.addHandler() {
+		panic(http.ErrAbortHandler) // answers nothing
+	}
 	defer m.handlers.Done()
 	r := c.Request()
 	id, err := parseTaskID(r.Header)
@@ -106,6 +112,11 @@
 		m.recorder.write(EventStopped, id, raw)
 		return r.Context().Err()
 	}
+	if p.CrashMS > 0 {
+		m.recorder.write(EventCrash, id, raw)
+		m.crash(milliseconds(p.CrashMS))
+		panic(http.ErrAbortHandler) // answers nothing
+	}
 	if p.Fail || m.shouldFail(id) {
 		m.recorder.write(EventFailed, id, raw)
 		return c.String(http.StatusInternalServerError, "task failed")
@@ -114,11 +125,22 @@
 	return c.Blob(http.StatusOK, echo.MIMEOctetStream, p.result(raw))
 }
 
+// addHandler counts a request that is served. It reports false if the minion is down.
+func (m *Minion) addHandler() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.server == nil {
+		return false
+	}
+	m.handlers.Add(1)
+	return true
+}
+
 // simulateRun waits for the run time of the task, and longer while the minion is
 // frozen. It returns false if the request was cancelled.
 func (m *Minion) simulateRun(ctx context.Context, p Payload) bool {
 	if p.SleepMS > 0 && !m.opts.NoOp {
-		timer := time.NewTimer(time.Duration(p.SleepMS * m.opts.TimeFactor * float64(time.Millisecond)))
+		timer := time.NewTimer(milliseconds(p.SleepMS * m.opts.TimeFactor))
 		defer timer.Stop()
 		select {
 		case <-timer.C:
@@ -129,6 +151,8 @@
 	return ctx.Err() == nil
 }
 
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // shouldFail reports whether FailRatio and FailSeed select the task to fail.
 func (m *Minion) shouldFail(id taskID) bool {
 	if m.opts.FailRatio <= 0 {
--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -26,6 +26,9 @@
 	failPercent int
 	// cancelPercent is the share of jobs that their callers cancel, in percent.
 	cancelPercent int
+	// crashPercent is the share of tasks that make their minion crash, in percent.
+	// The minion is back after crashMS milliseconds.
+	crashPercent, crashMS int
 }
 
 // caller is one submission and the final outcome that its caller received: exactly
@@ -87,6 +90,9 @@
 			Echo:    fmt.Sprintf("%s/%d:%d", id, t, random.Uint64()),
 			Fail:    random.IntN(100) < l.failPercent,
 		}
+		if l.crashPercent > 0 && random.IntN(100) < l.crashPercent {
+			p.CrashMS = float64(l.crashMS)
+		}
 		data, err := json.Marshal(p)
 		if err != nil {
 			panic(err)
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -32,6 +32,10 @@
 	// direct connects to entries, agents and minions without relays, so that
 	// relays don't distort benchmarks.
 	direct bool
+	// directMinions connects agents to minions without relays. A relay accepts
+	// connections while its minion is down, so that a request seems to have been
+	// sent.
+	directMinions bool
 	// authority issues the TLS keys of the processes. If it is nil, the fleet runs
 	// without TLS.
 	authority *keystest.Authority
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"endivewing/internal/cli"
+	"endivewing/internal/fakeminion"
 )
 
 func TestMain(m *testing.M) {
@@ -53,6 +55,8 @@
 			"join-load": cmdJoinLoad,
 			"judge":     cmdJudge,
 			"expect":    cmdExpect,
+			"expect-of": cmdExpectOf,
+			"crashes":   cmdCrashes,
 			"start":     forEachProcess(func(f *fleet, name string) error { return f.start(name) }),
 			"crash":     forEachProcess(func(f *fleet, name string) error { return f.processes[name].Kill() }),
 			"shutdown":  forEachProcess(func(f *fleet, name string) error { return f.processes[name].Stop() }),
@@ -112,12 +116,14 @@
 
 // cmdFleet starts a fleet: fleet control=3 entry=2 agent=3 slots=8. With failing=N,
 // minion N fails all its tasks. With slow=N, minion N takes ten times as long for
-// each task. With keys=1, the fleet uses TLS. For each process it sets two
-// variables, such as ENTRY_1 and DEBUG_ENTRY_1, to the URLs of its ports.
+// each task. With keys=1, the fleet uses TLS. With direct_minions=1, no relay stands
+// between agents and minions. For each process it sets two variables, such as ENTRY_1
+// and DEBUG_ENTRY_1, to the URLs of its ports.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
-	n := parseNumberArgs(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0, "keys": 0, "max_wait_ms": defaultMaxWaitMS})
+	n := parseNumberArgs(ts, args, map[string]int{"control": 3, "entry": 2, "agent": 3, "slots": 8, "failing": 0, "slow": 0, "keys": 0, "direct_minions": 0, "max_wait_ms": defaultMaxWaitMS})
 	f := stateOf(ts).fleet
 	f.maxWaitMS = n["max_wait_ms"]
+	f.directMinions = n["direct_minions"] > 0
 	if n["keys"] > 0 {
 		if err := f.enableTLS(); err != nil {
 			ts.Fatalf("%v", err)
@@ -144,7 +150,7 @@
 // cmdLoad starts callers in the background: load NAME jobs=50 tasks=5 ...
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
 	s := stateOf(ts)
-	n := parseNumberArgs(ts, args[1:], map[string]int{"jobs": 40, "tasks": 6, "sleep_ms": 40, "every_ms": 10, "fail": 0, "cancel": 0, "seed": 1})
+	n := parseNumberArgs(ts, args[1:], map[string]int{"jobs": 40, "tasks": 6, "sleep_ms": 40, "every_ms": 10, "fail": 0, "cancel": 0, "crash": 0, "crash_ms": 200, "seed": 1})
 	l := callerLoad{
 		jobs:          n["jobs"],
 		maxTasks:      n["tasks"],
@@ -153,6 +159,8 @@
 		seed:          uint64(n["seed"]),
 		failPercent:   n["fail"],
 		cancelPercent: n["cancel"],
+		crashPercent:  n["crash"],
+		crashMS:       n["crash_ms"],
 	}
 	done := make(chan []*caller, 1)
 	s.loads[args[0]] = done
@@ -212,17 +220,56 @@
 // cmdExpect fails the script if a caller has a final outcome that is not listed:
 // expect complete failed:agent_lost.
 func cmdExpect(ts *testscript.TestScript, _ bool, args []string) {
+	expectOutcomes(ts, stateOf(ts).callers, args)
+}
+
+// cmdExpectOf is like cmdExpect for the callers of one load:
+// expect-of LOAD failed:task_failed.
+func cmdExpectOf(ts *testscript.TestScript, _ bool, args []string) {
+	var callers []*caller
 	for _, c := range stateOf(ts).callers {
-		allowed := false
-		for _, expected := range args {
-			allowed = allowed || expected == c.outcome()
+		if strings.HasPrefix(c.submission.SubmissionID, args[0]+"-") {
+			callers = append(callers, c)
 		}
-		if !allowed {
-			ts.Fatalf("%s: outcome %s is not one of %v", c.submission.SubmissionID, c.outcome(), args)
+	}
+	if len(callers) == 0 {
+		ts.Fatalf("no callers of a load %s", args[0])
+	}
+	expectOutcomes(ts, callers, args[1:])
+}
+
+func expectOutcomes(ts *testscript.TestScript, callers []*caller, outcomes []string) {
+	for _, c := range callers {
+		if !slices.Contains(outcomes, c.outcome()) {
+			ts.Fatalf("%s: outcome %s is not one of %v", c.submission.SubmissionID, c.outcome(), outcomes)
 		}
 	}
 }
 
+// cmdCrashes fails the script unless tasks have made minions crash this many times:
+// crashes 3.
+func cmdCrashes(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		ts.Fatalf("bad argument %q", args[0])
+	}
+	crashes := 0
+	for _, path := range stateOf(ts).fleet.minionRecords {
+		lines, err := fakeminion.ReadRecord(path)
+		if err != nil {
+			ts.Fatalf("%v", err)
+		}
+		for _, line := range lines {
+			if line.Event == fakeminion.EventCrash {
+				crashes++
+			}
+		}
+	}
+	if crashes != want {
+		ts.Fatalf("tasks made minions crash %d times, want %d", crashes, want)
+	}
+}
+
 // cmdAddMember starts a control member that waits until an operator adds it:
 // add-member 4.
 func cmdAddMember(ts *testscript.TestScript, _ bool, args []string) {
--- a/scenarios/settings_test.go
+++ b/scenarios/settings_test.go
@@ -72,9 +72,9 @@
 // addressOf returns the address at which one process reaches a port of another, which
 // is that of a relay. In a direct fleet it is the listen address, or empty if the
 // process has not started; a process without an advertised address advertises
-// the one it listens on.
+// the one it listens on. With direct minions, only agents reach their minions so.
 func (f *fleet) addressOf(from, to, role string) string {
-	if f.direct {
+	if f.direct || f.directMinions && role == "minion" {
 		return f.listenAddresses[linkKey{anySource, to, role}]
 	}
 	return f.relay(from, to, role).Address()
