One crash of a minion no longer takes its endpoint out of use

What callers saw: after one task had crashed a minion that ran tasks of other jobs too, that endpoint got no work for 5 to 15 s (longer after a second time), although the minion was back within milliseconds. The others carried its load.

Cause: an endpoint is ejected after failed tasks of two jobs without a success between. All tasks of a minion fail with its crash, so one crash counted as many failures. It also raised the failure rate of the whole pool by all of them.

Change: the entry tells the dispatcher that a task ended with a lost connection to its minion (placement.Crashed). Such an end counts only if the task was sent after the last crash there was reported.

Tests changed: the dispatcher's model ends tasks by crashes too, and its agents' slots shrink and grow below what is outstanding; all its checks are the same.

--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -30,18 +30,21 @@
 // TaskEnded implements owner.Effects.
 func (l *loop) TaskEnded(e owner.TaskEnd) {
 	l.metrics.taskEnded(e.Outcome)
-	l.dispatcher.HandleOutcome(e.Agent, e.Job, e.Task, placementOutcome(e.Outcome), e.RunDuration, l.now)
+	l.dispatcher.HandleOutcome(e.Agent, e.Job, e.Task, placementOutcome(e), e.RunDuration, l.now)
 }
 
-// placementOutcome converts a task's outcome for the dispatcher. It counts an unknown
+// placementOutcome converts the end of a task for the dispatcher. It counts an unknown
 // outcome as a failure at the agent.
-func placementOutcome(o wirepb.TaskOutcome) placement.Outcome {
-	switch o {
+func placementOutcome(e owner.TaskEnd) placement.Outcome {
+	switch e.Outcome {
 	case wirepb.TaskOutcome_TASK_OUTCOME_DONE:
 		return placement.Done
 	case wirepb.TaskOutcome_TASK_OUTCOME_NOT_RUN:
 		return placement.NotRun
 	}
+	if e.Reason == owner.ReasonMinionLost {
+		return placement.Crashed
+	}
 	return placement.Failed
 }
 
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -23,6 +23,9 @@
 	// ReasonAnswerTooLarge says that all tasks ran, but that their results
 	// together are too large to be recorded.
 	ReasonAnswerTooLarge = apijob.ReasonAnswerTooLarge
+	// ReasonMinionLost is the reason of an agent for a task whose request was sent
+	// and whose connection broke before the answer, as in a crash of the minion.
+	ReasonMinionLost = "minion_lost"
 	// ReasonAgentLeft is the reason of a task that an agent had not started
 	// when the agent left cleanly.
 	ReasonAgentLeft = "agent_left"
--- a/internal/placement/dispatcher_test.go
+++ b/internal/placement/dispatcher_test.go
@@ -158,7 +158,7 @@
 }
 
 func (m *model) endTask(t *rapid.T, j *modelJob, task uint32, agent uint64) {
-	outcome := rapid.SampledFrom([]Outcome{Done, Done, Done, Done, Failed, NotRun, NotSent}).Draw(t, "outcome")
+	outcome := rapid.SampledFrom([]Outcome{Done, Done, Done, Done, Failed, Crashed, NotRun, NotSent}).Draw(t, "outcome")
 	if agent == m.failingAgent {
 		outcome = Failed
 	}
@@ -190,6 +190,7 @@
 		a := &m.agents[rapid.IntRange(0, len(m.agents)-1).Draw(t, "agent")]
 		a.Connected = rapid.Bool().Draw(t, "connected")
 		a.Draining = rapid.IntRange(0, 3).Draw(t, "draining") == 0
+		a.Slots = uint32(rapid.IntRange(1, 4).Draw(t, "slots")) // may shrink below what is outstanding
 		if !a.Connected {
 			m.granted[a.Incarnation] = 0
 		}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -72,7 +72,10 @@
 	// streakSince is when the first failure of the streak was reported, since
 	// the dispatcher's epoch. Only the success of a task that was sent later
 	// ends the streak.
-	streakSince    time.Duration
+	streakSince time.Duration
+	// crashedAt is when the last crash of the minion was reported, since the
+	// dispatcher's epoch.
+	crashedAt      time.Duration
 	probeAt        time.Time     // when the next probe may be sent
 	backoff        time.Duration // mean backoff after an ejection or a failed probe; 0 after recovery
 	probeDue       bool          // a probe may be sent now
@@ -202,6 +205,18 @@
 	}
 }
 
+// recordCrashed updates the agent and its pool after a task failed because its minion
+// crashed. A crash counts once, however many tasks it ends: the tasks that were sent
+// before it was reported fell with it.
+func (d *Dispatcher) recordCrashed(a *agent, job uint64, turnaround time.Duration, now time.Time) {
+	at := now.Sub(d.epoch)
+	if sent := at - turnaround; a.health.crashedAt > 0 && sent < a.health.crashedAt {
+		return
+	}
+	a.health.crashedAt = at
+	d.recordFailed(a, job, now)
+}
+
 // recordProbe handles the outcome of a probe. A probe that failed, or whose run
 // time makes the sum of run times too long, doubles the backoff and restarts the
 // count. After requiredProbes passed probes the agent returns.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -89,6 +89,9 @@
 	Done Outcome = iota + 1
 	// Failed means that the task was started and has no result.
 	Failed
+	// Crashed means the same as Failed, and that the minion's connection broke, as
+	// in a crash of the minion. All tasks that it ran then end so.
+	Crashed
 	// NotRun means that the agent refused the task and never started it. The
 	// task may be placed again with Requeue.
 	NotRun
@@ -268,6 +271,11 @@
 			d.recordFailed(a, j.info.Job, now)
 		}
 		s.completions.recordEnd(now)
+	case Crashed:
+		if !j.removed {
+			d.recordCrashed(a, j.info.Job, turnaround, now)
+		}
+		s.completions.recordEnd(now)
 	case NotRun:
 		if !j.removed {
 			d.shrinkWindow(a, now)
