Runner: a crash of its minion is known with its runs, and told to all dispatchers

What callers saw: a task that crashes its minion was placed again and again, since its runs came back as stopped with nothing that told them from runs that were stopped.

Cause: runners told dispatchers that runs ended (lease_lapsed, minion_ended), not that the minion had crashed, and only the dispatcher that had ordered them.

Change: a minion has crashed if another incarnation of it answers while the earlier one had neither left nor was draining, or if its lease ended while nobody listened at its address. It is reported once an incarnation, before the ends, with the runs that it received and whose ends are not known, in the order of their starts; dispatchers that connect within a minute are told too. A start that found nobody (connection refused) did not reach the minion and is left out. It is not sent again either: the next to listen may be a later incarnation under the same name, which has seen no fencing token. A crash adds a count; runs end by the proofs that they ended by before.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -116,7 +116,7 @@
 	}
 	if a.err != nil {
 		l.unanswered(now, "start", a.call.RunID, a.err)
-		l.table.StartAnswered(now, a.call.RunID, runtable.Unanswered)
+		l.table.StartAnswered(now, a.call.RunID, startFailure(a.err))
 		return
 	}
 	l.checkFence(a.answer.Status, a.call.Fence)
@@ -127,6 +127,14 @@
 	l.table.StartAnswered(now, a.call.RunID, startAnswers[a.answer.Status])
 }
 
+// startFailure returns what the error of a start says of the start.
+func startFailure(err error) runtable.StartAnswer {
+	if nobodyListens(err) {
+		return runtable.NotReceived
+	}
+	return runtable.Unanswered
+}
+
 var startAnswers = map[CallStatus]runtable.StartAnswer{
 	Accepted:         runtable.Started,
 	Fenced:           runtable.Rejected,
@@ -201,6 +209,7 @@
 		l.immediatePollActive = false
 	}
 	l.mayHaveRestarted = true
+	l.crash.pollEnded(a.err)
 	if a.err != nil {
 		l.metrics.unanswered.Inc(1)
 		l.lastUnanswered = now
@@ -217,6 +226,7 @@
 		return
 	}
 	l.mayHaveRestarted = false
+	l.crash.listed()
 	l.lease.recordClock(now, a.lists.Clock)
 	l.table.ApplyListing(now, runtable.Listing{SentAt: a.sentAt, Running: a.lists.Running, Ended: a.lists.Ended})
 }
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -84,6 +84,7 @@
 	l.lastOwner++
 	d := &dispatcher{session: e.session, owner: l.lastOwner, reportInterval: reportIntervalFor(e.watches), stale: true}
 	d.silence = e.session.Silence
+	d.crashes = l.rememberedCrashes(now)
 	l.dispatchers[e.session] = d
 	l.byOwner[d.owner] = d
 	l.p.opts.Log.Info("dispatcher connected", "dispatcher", e.session.Peer().GetName())
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -21,6 +21,10 @@
 	table       *runtable.Table
 	incarnation incarnation
 	lease       lease
+	// crash is the evidence of a crash of the present incarnation. crashes are those of
+	// earlier ones that dispatchers that connect are told of, the oldest first.
+	crash   crashEvidence
+	crashes []rememberedCrash
 	// leaseOverSince is when the lease of runs that have not ended was found to be
 	// over; zero while it goes on.
 	leaseOverSince time.Time
@@ -94,7 +98,9 @@
 	owner   runtable.Owner
 	// placed counts the tasks received on this session.
 	placed uint64
-	ends   []*wirepb.TaskEnd
+	// ends and crashes are those that the next report contains.
+	ends    []*wirepb.TaskEnd
+	crashes []*wirepb.MinionCrash
 	// stale reports whether the free capacity may have changed since lastReport.
 	stale      bool
 	lastReport time.Time
@@ -109,7 +115,9 @@
 	// did not.
 	unknownRuns tally.Counter
 	// stalls counts the times that the loop was late by stallLogThreshold.
-	stalls  tally.Counter
+	stalls tally.Counter
+	// crashes counts crashes of the minion.
+	crashes tally.Counter
 	ends    map[runtable.Outcome]tally.Counter
 	running tally.Gauge
 	runTime tally.Histogram
@@ -135,6 +143,7 @@
 			polls:       scope.Counter("holds"),
 			unknownRuns: scope.Counter("unknown_runs"),
 			stalls:      scope.Counter("stalls"),
+			crashes:     scope.Counter("minion_crashes"),
 			ends:        ends,
 			running:     scope.Gauge("running"),
 			runTime:     scope.Histogram("run_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.6, 16)),
@@ -235,6 +244,7 @@
 		return
 	}
 	l.p.opts.Log.Info("lease ended", "endpoint", l.incarnation.Endpoint, "runs", l.table.Running())
+	l.leaseOver(now)
 	l.fence++ // so that the minion refuses a start that is still on its way
 	l.table.LeaseExpired(now)
 }
@@ -331,14 +341,14 @@
 	return min(time.Duration(watches)*time.Duration(watches)*baseReportInterval, maxReportInterval)
 }
 
-// sendReports sends ends and changes of readiness or capacity at once. It sends a
+// sendReports sends ends, crashes and changes of readiness or capacity at once. It sends a
 // change of the free capacity at most once in the dispatcher's reportInterval.
 func (l *loop) sendReports(now time.Time, change availabilityChange) {
 	var roomMessage *wirepb.Room
 	for _, d := range l.dispatchers {
 		d.stale = d.stale || change != availabilityUnchanged
 		due := d.stale && now.Sub(d.lastReport) >= d.reportInterval
-		if len(d.ends) == 0 && !due && change != readinessOrCapacityChanged {
+		if len(d.ends) == 0 && len(d.crashes) == 0 && !due && change != readinessOrCapacityChanged {
 			continue
 		}
 		if roomMessage == nil {
@@ -353,8 +363,8 @@
 		Service: common.Service, Endpoint: common.Endpoint, Labels: common.Labels, Capacity: common.Capacity, Free: common.Free,
 		Ready: common.Ready, Placed: d.placed, StampMs: common.StampMs, PaceMilli: common.PaceMilli, SuspicionMilli: common.SuspicionMilli,
 	}
-	report := &wirepb.RunnerReport{Ends: d.ends, Room: own}
-	d.ends, d.stale, d.lastReport = nil, false, now
+	report := &wirepb.RunnerReport{Ends: d.ends, Crashes: d.crashes, Room: own}
+	d.ends, d.crashes, d.stale, d.lastReport = nil, nil, false, now
 	err := d.session.Send(wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_RunnerReport{RunnerReport: report}})
 	if err != nil {
 		// The session ends, and the dispatcher does not take its runs as ended
--- a/internal/runtable/minion.go
+++ b/internal/runtable/minion.go
@@ -21,8 +21,8 @@
 
 // StartAnswered handles the minion's answer to a start. Without an answer the
 // run may begin at any time. The same start is then sent again, which the
-// minion carries out once. After the last attempt the run is stopped; once the
-// minion has answered the stop, the run can't begin any more.
+// minion carries out once. After the last attempt, or once nobody listens, the run is
+// stopped; once the minion has answered the stop, the run can't begin any more.
 func (t *Table) StartAnswered(now time.Time, ref RunID, answer StartAnswer) {
 	r := t.find(ref)
 	if r == nil {
@@ -41,10 +41,10 @@
 			return
 		}
 		t.finish(now, r, NotRun, rejectionReason(answer))
+	case NotReceived:
+		r.startsMissed++
+		t.giveUpStart(now, r)
 	case Unanswered:
-		if r.state == running { // a list contained the run
-			return
-		}
 		t.retryStart(now, r)
 	}
 }
@@ -60,6 +60,15 @@
 		t.startsDue = append(t.startsDue, r)
 		return
 	}
+	t.giveUpStart(now, r)
+}
+
+// giveUpStart stops a run whose start is not sent again. After a refused connection the
+// next one to listen may be a later incarnation, which would run what crashed this one.
+func (t *Table) giveUpStart(now time.Time, r *run) {
+	if r.state != starting {
+		return
+	}
 	t.health.recordFailure()
 	t.stop(now, r, ReasonStartUnanswered)
 }
@@ -163,6 +172,7 @@
 // confirmActive handles a run that a list contains as active.
 func (t *Table) confirmActive(now time.Time, r *run, percent int) {
 	r.listed = true
+	r.startsMissed = 0
 	if r.state == starting { // the answer to its start is late or lost
 		r.state, r.startAnsweredAt = running, now
 	}
--- a/internal/runtable/property_test.go
+++ b/internal/runtable/property_test.go
@@ -206,6 +206,19 @@
 	}
 }
 
+// missAny has nobody listen at the minion's address when a start arrives, so that the
+// minion never receives it.
+func (w *workload) missAny() {
+	c := w.pickCall(func(c *call) bool { return c.kind == startCall && !c.executed && !c.gone })
+	if c == nil {
+		return
+	}
+	w.remove(c)
+	if c.incarnation == w.incarnation {
+		w.table.StartAnswered(w.now, c.name, NotReceived)
+	}
+}
+
 // pickCall draws a call that the condition holds for; nil if there is none.
 func (w *workload) pickCall(holds func(*call) bool) *call {
 	var fitting []*call
@@ -287,6 +300,18 @@
 		w.poll()
 	}
 	w.checkCapacity()
+	w.checkReceived()
+}
+
+// checkReceived checks that a crash now counts for every run at work that the table
+// holds.
+func (w *workload) checkReceived() {
+	received := w.table.ReceivedRuns()
+	for _, name := range w.minion.names() {
+		if r := w.table.find(name); r != nil {
+			assert.Assert(w.t, slices.Contains(received, name), "%v is at work and not received", name)
+		}
+	}
 }
 
 // checkEnd checks that a run that is reported as ended is not at work, was open
@@ -355,7 +380,7 @@
 // step performs one random action at a time of its own.
 func (w *workload) step() {
 	w.now = w.now.Add(1)
-	switch w.pick("action", 0, 15) {
+	switch w.pick("action", 0, 16) {
 	case 0, 1, 2:
 		w.place()
 	case 3:
@@ -382,6 +407,8 @@
 		if w.pick("restart", 0, 3) == 0 {
 			w.restart()
 		}
+	case 16:
+		w.missAny()
 	}
 	if w.pick("flush", 0, 2) > 0 { // several inputs may share an output
 		w.now = w.now.Add(1)
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -36,6 +36,7 @@
 	stopAnsweredAt  time.Time // when a stop was answered; zero before
 	listed          bool      // a list contained the run as active
 	startAttempts   int       // number of starts sent
+	startsMissed    int       // number of these that the present incarnation has not received, as far as is known
 	percent         int       // share of its work that is done, by the last list
 	progressedAt    time.Time // when percent last changed
 	overrunRecorded bool      // its overrun was recorded in the run time ratio
@@ -152,6 +153,7 @@
 	r.stopAnsweredAt = now
 	r.stopSentAt = time.Time{} // the later incarnation has received no stop
 	r.listed = true            // the earlier incarnation may have run it
+	r.startsMissed = r.startAttempts
 }
 
 // LeaseExpired handles the end of the lease of all runs at the minion: every run that
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -172,4 +172,7 @@
 	RejectedNoCapacity
 	// Unanswered means that no answer came: the run may start now or later.
 	Unanswered
+	// NotReceived means that no answer came because nobody listened at the minion's
+	// address: this attempt has not reached the minion.
+	NotReceived
 )
