Dispatcher: a task under which minions crash is given up

What callers saw: a task that crashes each minion that starts it was started up to the caller's deadline, and from the beginning after each 504, at this or another dispatcher.

Cause: a run that ended with its minion came back as stopped, and its task was placed again without a count; nothing was remembered of a job that was answered.

Change: dispatchers remember for a minute under which tasks minions have crashed, whoever placed them; a job that is sent again goes on with its counts. A task is given up after two crashes if it alone is to blame for the second (no suspect of another job ran there, and nothing of another job was started later), after three in any case. Its job is answered as failed, with the reason crashed_minions, and so are later submissions of it. A crash that is reported twice, or that names a run twice, counts once.

Before: with MinionCrashed doing nothing, TestTaskCrashedMinionAfterMinion (ten crashes, not two), TestCrashesBeganAtZeroForAJobSentAgain, TestHeldJobIsAnsweredOnceItIsGivenUp and the dispatcher's TestTaskStartedAgainBesideTheReportOfItsCrash fail.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,12 +39,13 @@
 	lastChange time.Time
 	// lastReview is when all open jobs were last checked.
 	lastReview time.Time
+	crashes    crashMemory
 	out        Output
 }
 
 // New returns a dispatcher in an availability zone.
 func New(zone string) *Dispatcher {
-	return &Dispatcher{zone: zone, runners: map[RunnerID]*runner{}, jobs: map[string]*openJob{}, ending: map[string]*openJob{}}
+	return &Dispatcher{zone: zone, runners: map[RunnerID]*runner{}, jobs: map[string]*openJob{}, ending: map[string]*openJob{}, crashes: newCrashMemory()}
 }
 
 // TakeOutput places waiting tasks, then returns the output and clears it. Under load
@@ -95,6 +96,10 @@
 		d.refuse(j, ReasonDuplicate, minRetryAfter)
 		return
 	}
+	if d.crashes.givenUp(j.ID) {
+		d.answerGivenUp(now, j)
+		return
+	}
 	if earlier := d.ending[j.ID]; earlier != nil {
 		d.hold(earlier, j)
 		return
@@ -277,6 +282,7 @@
 	}
 	if now.Sub(d.lastReview) >= reviewInterval {
 		d.lastReview = now
+		d.crashes.forget(now)
 		for _, o := range sortedByID(d.jobs) {
 			d.review(now, o)
 		}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -127,7 +127,8 @@
 const (
 	// Completed means that every task is done.
 	Completed Result = iota + 1
-	// Failed means that a task used up its attempts.
+	// Failed means that a task used up its attempts, or that too many minions crashed
+	// under it.
 	Failed
 	// GivenUp means that tasks have or may have run, and the job was not
 	// finished.
@@ -139,6 +140,7 @@
 // Reasons of results other than Completed.
 const (
 	ReasonAttempts   = "attempts_used_up"
+	ReasonCrashes    = "crashed_minions"
 	ReasonNoCapacity = "no_room_in_time"
 	ReasonTooLarge   = "larger_than_any_minion"
 	ReasonNoMinion   = "no_minion"
@@ -173,4 +175,6 @@
 	Answers    []Answer
 	// LostRuns are the tasks of lost runs that Placements contains.
 	LostRuns []LostRun
+	// Crashes are the tasks under which a minion has crashed.
+	Crashes []CrashCount
 }
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -96,7 +96,7 @@
 	l.core.RunnerLost(now, s.id)
 }
 
-// runnerReported carries the ends and the free capacity that a runner reports.
+// runnerReported carries the crashes, the ends and the free capacity that a runner reports.
 type runnerReported struct {
 	session *wire.Session
 	report  *wirepb.RunnerReport
@@ -109,6 +109,9 @@
 	}
 	status := e.report.Room
 	s.reportStamp, s.reportedAt = status.GetStampMs(), boottime.Now()
+	for _, c := range e.report.Crashes {
+		l.core.MinionCrashed(now, crash(c))
+	}
 	for _, end := range e.report.Ends {
 		l.core.RunEnded(now, s.id, taskEnd(end))
 	}
@@ -126,6 +129,15 @@
 	wirepb.RunOutcome_RUN_OUTCOME_STOPPED: runtable.Stopped,
 }
 
+func crash(c *wirepb.MinionCrash) dispatch.Crash {
+	out := dispatch.Crash{Endpoint: c.Endpoint, StartedUnixMs: c.StartedUnixMs}
+	for _, r := range c.Runs {
+		name := runtable.TaskID{Job: r.Job, Step: r.Step, Index: r.Index}
+		out.Runs = append(out.Runs, runtable.RunID{TaskID: name, Run: r.Run})
+	}
+	return out
+}
+
 func taskEnd(e *wirepb.TaskEnd) dispatch.TaskEnd {
 	name := runtable.TaskID{Job: e.Job, Step: e.Step, Index: e.Index}
 	return dispatch.TaskEnd{
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -63,8 +63,10 @@
 }
 
 type loopMetrics struct {
-	scope                 tally.Scope
-	tasksPlaced           tally.Counter
+	scope       tally.Scope
+	tasksPlaced tally.Counter
+	// crashes counts tasks of jobs here under which a minion crashed.
+	crashes               tally.Counter
 	jobDuration           map[dispatch.Result]tally.Histogram
 	openJobs, waitingJobs tally.Gauge
 }
@@ -89,6 +91,7 @@
 		metrics: loopMetrics{
 			scope:       p.opts.Scope,
 			tasksPlaced: p.opts.Scope.Counter("tasks_placed"),
+			crashes:     p.opts.Scope.Counter("tasks_crashed"),
 			jobDuration: jobDuration,
 			openJobs:    p.opts.Scope.Gauge("jobs_open"),
 			waitingJobs: p.opts.Scope.Gauge("jobs_waiting"),
@@ -212,6 +215,10 @@
 	for _, lost := range out.LostRuns {
 		l.logLostRun(lost)
 	}
+	for _, c := range out.Crashes {
+		l.metrics.crashes.Inc(1)
+		l.p.opts.Log.Info("task under which a minion crashed", "job", c.Job, "step", c.Step, "task", c.Index, "endpoint", c.Endpoint, "crashes", c.Crashes)
+	}
 	for _, p := range out.Placements {
 		l.place(now, p)
 	}
--- a/internal/dispatcher/malformed_test.go
+++ b/internal/dispatcher/malformed_test.go
@@ -55,6 +55,15 @@
 			PaceMilli: number.Draw(t, "pace"), SuspicionMilli: number.Draw(t, "suspicion"),
 		}
 	}
+	for range rapid.IntRange(0, 2).Draw(t, "crashes") {
+		c := &wirepb.MinionCrash{Endpoint: "i", StartedUnixMs: int64(number.Draw(t, "born"))}
+		for range rapid.IntRange(0, 3).Draw(t, "crashed") {
+			c.Runs = append(c.Runs, &wirepb.CrashedRun{
+				Job: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "job"), Step: number.Draw(t, "step"), Index: number.Draw(t, "index"),
+			})
+		}
+		r.Crashes = append(r.Crashes, c)
+	}
 	for range rapid.IntRange(0, 3).Draw(t, "ends") {
 		r.Ends = append(r.Ends, &wirepb.TaskEnd{
 			Job: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "job"), Step: number.Draw(t, "step"), Index: number.Draw(t, "index"),
