Dispatcher: a task under which a minion crashed runs apart from others like it

What callers saw: a crash makes every task of the minion a suspect, ten or so. Placed like other tasks, a deadly one crashes its next minions beside as many others, and is not the only one to blame for two crashes, so that it crashes a third.

Cause: placement did not know of crashes.

Change: a suspect runs where no suspect of another job of this dispatcher is, beside those of its own job if there are some, otherwise where the least is at work, and never waits at a full runner. Tasks that are no suspects are placed as before.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,6 +2,17 @@
 
 import "time"
 
+// choose returns the runner for a task, or nil. A suspect never waits at a full runner.
+func (d *Dispatcher) choose(now time.Time, o *openJob, step int, t *task, suspect bool, suspects suspectJobs) *runner {
+	if suspect {
+		return d.chooseForSuspect(now, o, step, t, suspects)
+	}
+	if r := d.chooseRunner(now, o, step, t); r != nil || !o.mayWaitAtRunner() {
+		return r
+	}
+	return d.chooseFullRunner(now, o, step, t)
+}
+
 // chooseRunner returns the runner with enough free capacity where a task is
 // expected to end first, or nil.
 func (d *Dispatcher) chooseRunner(now time.Time, o *openJob, step int, t *task) *runner {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,6 +20,10 @@
 		return
 	}
 	free := freeCapacity{runners: d.sortedRunners}
+	var suspects suspectJobs
+	if len(d.crashes.jobs) > 0 {
+		suspects = d.findSuspects()
+	}
 	for _, o := range d.byUrgency(now) {
 		if !free.mayPlace(o) || !o.mayPlace(now) {
 			continue
@@ -27,7 +31,7 @@
 		if o.Priority >= allOrNothingPriority && !o.mayHaveRun() && !d.allFit(o) {
 			continue
 		}
-		d.placeJob(now, o)
+		d.placeJob(now, o, suspects)
 		free.valid = false
 		if !o.hasReadyTasks() {
 			d.dequeue(o)
@@ -36,15 +40,17 @@
 }
 
 // placeJob places the tasks of a job that fit.
-func (d *Dispatcher) placeJob(now time.Time, o *openJob) {
+func (d *Dispatcher) placeJob(now time.Time, o *openJob, suspects suspectJobs) {
 	for step := range o.Steps {
 		if o.waiting[step] > 0 && o.stepReady(step) {
-			d.placeStep(now, o, step)
+			d.placeStep(now, o, step, suspects)
 		}
 	}
 }
 
-func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int) {
+// placeStep places the tasks of a step that fit. suspects is where suspects are at work; it
+// takes in those that are placed.
+func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int, suspects suspectJobs) {
 	wait := d.runnerWait(now, o)
 	batches := map[RunnerID]*Placement{}
 	var order []*Placement
@@ -53,13 +59,17 @@
 		if t.state != waiting {
 			continue
 		}
-		r := d.chooseRunner(now, o, step, t)
-		if r == nil && o.mayWaitAtRunner() {
-			r = d.chooseFullRunner(now, o, step, t)
+		suspect := d.isSuspect(o, step, i)
+		r := d.choose(now, o, step, t, suspect, suspects)
+		if r == nil && suspect {
+			continue // other tasks of the step may run where it may not
 		}
 		if r == nil {
 			break
 		}
+		if suspect {
+			suspects.add(r.id, o.ID)
+		}
 		name := runtable.TaskID{Job: o.ID, Step: uint32(step), Index: uint32(i)}
 		d.recordLostRun(now, name, t)
 		d.assign(now, o, step, t, r)
--- /dev/null
+++ b/internal/dispatch/suspects.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"cmp"
+	"time"
+
+	"endivewing/internal/runtable"
+)
+
+// A task under which a minion has crashed is a suspect until it is done or given up. Most
+// suspects are innocent: the minion crashed under a task beside them.
+//
+// This answers the load of a queue of which every tenth job crashes each minion that starts
+// it. A minion has ten tasks at work, so one crash makes ten suspects. Placed like other
+// tasks, a deadly one would crash its next minions under as many others, and nobody could
+// tell which is to blame. So the suspects of two jobs are kept apart, those of one job
+// together, and they go where least is at work.
+
+// suspectJobs holds, by runner, the jobs of which suspects may be at work there.
+type suspectJobs map[RunnerID]map[string]bool
+
+func (s suspectJobs) add(id RunnerID, job string) {
+	if s[id] == nil {
+		s[id] = map[string]bool{}
+	}
+	s[id][job] = true
+}
+
+// others reports whether suspects of other jobs than the given one may be at work.
+func (s suspectJobs) others(id RunnerID, job string) bool {
+	n := len(s[id])
+	return n > 1 || n == 1 && !s[id][job]
+}
+
+// isSuspect reports whether a minion has crashed under a task of the job.
+func (d *Dispatcher) isSuspect(o *openJob, step, index int) bool {
+	return d.crashes.crashes(runtable.TaskID{Job: o.ID, Step: uint32(step), Index: uint32(index)}) > 0
+}
+
+// findSuspects returns where suspects may be at work.
+func (d *Dispatcher) findSuspects() suspectJobs {
+	found := suspectJobs{}
+	for _, jobs := range []map[string]*openJob{d.jobs, d.ending} {
+		for id, o := range jobs {
+			if d.crashes.jobs[id] != nil {
+				d.findSuspectsOf(o, found)
+			}
+		}
+	}
+	return found
+}
+
+func (d *Dispatcher) findSuspectsOf(o *openJob, found suspectJobs) {
+	for step, tasks := range o.tasks {
+		for i := range tasks {
+			if t := &tasks[i]; t.mayRunAt(t.runner) && d.isSuspect(o, step, i) {
+				found.add(t.runner, o.ID)
+			}
+		}
+	}
+}
+
+// chooseForSuspect returns the runner for a suspect, or nil: of those with enough free
+// capacity and no suspect of another job, one with suspects of its own job, or else the one
+// with the least work.
+func (d *Dispatcher) chooseForSuspect(now time.Time, o *openJob, step int, t *task, suspects suspectJobs) *runner {
+	var best *runner
+	for _, r := range d.sortedRunners {
+		if !o.Steps[step].Need.Fits(r.Free) || suspects.others(r.id, o.ID) || !d.mayRunAt(now, o, step, r) {
+			continue
+		}
+		if best == nil || compareForSuspect(t, r, best, suspects) < 0 {
+			best = r
+		}
+	}
+	return best
+}
+
+// compareForSuspect orders two runners for a suspect, the better first. Neither has suspects
+// of other jobs.
+func compareForSuspect(t *task, a, b *runner, suspects suspectJobs) int {
+	return cmp.Or(
+		falseFirst(t.avoids(a), t.avoids(b)),
+		falseFirst(len(suspects[a.id]) == 0, len(suspects[b.id]) == 0),
+		cmp.Compare(a.work(), b.work()),
+	)
+}
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// work returns the processor capacity that is in use, in thousandths of a core.
+func (r *runner) work() int64 { return r.Capacity.CPU - r.Free.CPU }
