--- a/internal/runtable/property_test.go
+++ b/internal/runtable/property_test.go
@@ -219,6 +219,19 @@
 	}
 }
 
+// missAny has nobody listen at the minion's address when a start arrives, so that the
+// minion never receives it.
+func (w *workload) missAny() {
+	c := w.pickCall(func(c *call) bool { return c.kind == startCall && !c.executed && !c.gone })
+	if c == nil {
+		return
+	}
+	w.remove(c)
+	if c.incarnation == w.incarnation {
+		w.table.StartAnswered(w.now, c.name, NotReceived)
+	}
+}
+
 // pickCall draws a call that the condition holds for; nil if there is none.
 func (w *workload) pickCall(holds func(*call) bool) *call {
 	var fitting []*call
@@ -301,6 +314,18 @@
 		w.poll()
 	}
 	w.checkCapacity()
+	w.checkReceived()
+}
+
+// checkReceived checks that a crash now counts for every run at work that the table
+// holds.
+func (w *workload) checkReceived() {
+	received := w.table.ReceivedRuns()
+	for _, name := range w.minion.names() {
+		if r := w.table.find(name); r != nil {
+			assert.Assert(w.t, slices.Contains(received, name), "%v is at work and not received", name)
+		}
+	}
 }
 
 // checkEnd checks that a run that is reported as ended is not at work, was open
@@ -370,7 +395,7 @@
 // step performs one random action at a time of its own.
 func (w *workload) step() {
 	w.now = w.now.Add(1)
-	switch w.pick("action", 0, 16) {
+	switch w.pick("action", 0, 17) {
 	case 0, 1, 2:
 		w.place()
 	case 3:
@@ -399,6 +424,8 @@
 		}
 	case 16:
 		w.changeCapacity(w.pick("capacity", 0, workloadCPU))
+	case 17:
+		w.missAny()
 	}
 	if w.pick("flush", 0, 2) > 0 { // several inputs may share an output
 		w.now = w.now.Add(1)
