No start goes out in the pass that closes the gate or ends its task

What callers saw: nothing that broke a promise. A task could go to the minion although the agent already drained, had lost its lease or knew that the minion is down, and a task that was cancelled right after it arrived ran for a moment and failed its job as "started" instead of "not run".

Cause: the gate decided a start when the message arrived and sent it when the pass over the waiting events ended. What else was learnt in that pass came too late.

Evidence: TestNoStartGoesOutInThePassThatClosesTheGate (drain, lease, minion down, cancel, recall), which failed before in all five forms.

Change: an accepted task waits in the queue; only Settle starts tasks, after it has looked at the conditions. The ends of requests start nothing by themselves any more. Room in the queue counts beyond the tasks that free slots will take.

New: TestWhatIsBeingStoppedHoldsItsSlot.

--- a/internal/gate/end.go
+++ b/internal/gate/end.go
@@ -44,9 +44,6 @@
 	}
 	g.sendUpdate(f.job, r)
 	g.removeForgotten(f.job)
-	if g.closedReason() == ReasonNone {
-		g.startQueued(now)
-	}
 }
 
 // recordEnd writes the end of a request to the record of the task.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -321,3 +321,58 @@
 	started, _ := b.settle()
 	assert.DeepEqual(t, started, []uint32{1})
 }
+
+// TestNoStartGoesOutInThePassThatClosesTheGate closes the gate, or ends a task, after
+// the task was accepted and before the gate's actions are taken.
+func TestNoStartGoesOutInThePassThatClosesTheGate(t *testing.T) {
+	cases := map[string]struct {
+		reason Reason
+		do     func(b *testbed)
+	}{
+		"drain":       {ReasonDraining, func(b *testbed) { b.g.SetDraining(true) }},
+		"lost lease":  {ReasonLease, func(b *testbed) { b.g.SetLease(false) }},
+		"minion down": {ReasonMinionDown, func(b *testbed) { b.g.SetMinionDown(true) }},
+		"cancel":      {ReasonCancelled, func(b *testbed) { b.cancel(1, 1) }},
+		"recall":      {ReasonRecalled, func(b *testbed) { b.recall(1, 1) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, testLimits())
+			b.start(1, 1)
+			c.do(b)
+			actions := b.g.Settle(b.now)
+			assert.Equal(t, len(actions.Starts), 0)
+			b.wantUpdate(1, 1, notRun, c.reason)
+			assert.Assert(t, b.g.SafeToLeave())
+		})
+	}
+}
+
+// TestWhatIsBeingStoppedHoldsItsSlot shrinks and grows the slots while two tasks are
+// being stopped.
+func TestWhatIsBeingStoppedHoldsItsSlot(t *testing.T) {
+	limits := testLimits()
+	limits.Slots = 2
+	b := newTestbed(t, limits)
+	b.start(1, 1)
+	b.start(2, 1)
+	b.settle()
+	b.cancel(1, 1)
+	b.cancel(2, 1)
+	b.start(3, 1)
+	b.start(4, 1)
+	for _, slots := range []int{2, 1, 2} {
+		limits.Slots = slots
+		b.g.SetLimits(limits)
+		started, _ := b.settle()
+		assert.Equal(t, len(started), 0, "with %d slots", slots)
+	}
+	limits.Slots = 1
+	b.g.SetLimits(limits)
+	b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{7, 1}, Kind: EndError, Reason: ReasonMinionLost})
+	started, _ := b.settle()
+	assert.Equal(t, len(started), 0)
+	b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{7, 2}, Kind: EndError, Reason: ReasonMinionLost})
+	started, _ = b.settle()
+	assert.DeepEqual(t, started, []uint32{3})
+}
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -45,20 +45,21 @@
 	if g.services != nil && !g.services[m.Service] {
 		return ReasonUnknownService
 	}
-	if g.hasFreeSlot() {
+	free := g.freeSlots()
+	if g.queue.tasks < free {
 		return ReasonNone
 	}
-	if g.queue.tasks >= g.limits.QueueTasks || g.queue.bytes+len(m.Payload) > g.limits.QueueBytes {
+	if g.queue.tasks-free >= g.limits.QueueTasks || g.queue.bytes+len(m.Payload) > g.limits.QueueBytes {
 		return ReasonQueueFull
 	}
 	return ReasonNone
 }
 
-// hasFreeSlot reports whether a new task can start at once: a slot is free and no
-// other task waits.
-func (g *Gate) hasFreeSlot() bool { return g.queue.tasks == 0 && len(g.running) < g.limit() }
+// freeSlots returns the number of tasks that could start now.
+func (g *Gate) freeSlots() int { return max(g.limit()-len(g.running), 0) }
 
-// accept starts a task, or queues it if no slot is free.
+// accept queues a task. If a slot is free, Settle starts it, unless one of the inputs
+// before that call closes the gate or withdraws the task.
 func (g *Gate) accept(now time.Duration, j *job, r *taskRecord, m *wirepb.StartTask) {
 	f := &inFlightTask{job: j, request: m, bytes: len(m.Payload), owner: j.group.owner}
 	if m.BudgetMs > 0 {
@@ -69,22 +70,21 @@
 	j.inFlightTasks++
 	g.unsafeTasks++
 	g.addOutstanding(now, f)
-	if g.hasFreeSlot() {
-		g.start(now, f, r)
-		return
-	}
 	r.step(eventEnqueue)
+	waits := g.queue.tasks >= g.freeSlots()
 	g.queue.push(f)
-	f.waitReportAt = now + waitReportDelay
-	g.timer.add(f.waitReportAt)
+	if waits {
+		f.waitReportAt = now + waitReportDelay
+		g.timer.add(f.waitReportAt)
+	}
 }
 
 // waitReportDelay is how long a task waits in the queue before the gate reports
 // it to the owner, which can then recall the task. Shorter waits cost no message.
 const waitReportDelay = time.Second
 
-// start adds a Start action, which sends the task to the minion. No other code
-// does that.
+// start adds a Start action, which sends the task to the minion. Only Settle leads
+// here, so nothing can come between the start and its action.
 func (g *Gate) start(now time.Duration, f *inFlightTask, r *taskRecord) {
 	if !r.step(eventStart) {
 		return
@@ -100,7 +100,7 @@
 
 // startQueued starts queued tasks while slots are free.
 func (g *Gate) startQueued(now time.Duration) {
-	for g.queue.head != nil && len(g.running) < g.limit() {
+	for g.queue.head != nil && g.freeSlots() > 0 {
 		f := g.queue.head
 		g.queue.remove(f)
 		g.start(now, f, f.job.find(f.request.Task))
