Error details of requests that were never sent no longer fill the agent

What callers saw: an endpoint that refused all tasks ("results_full") until its agent was started again, after its minion had been down or full many times: each time a task was placed there again and refused again, some 100 bytes stayed counted as held results. The done task that followed could carry the error detail of an earlier try.

Cause: the end of a later placement replaced what was held of the earlier one without taking its bytes off, and left it in place if the later end had nothing to hold.

Change: what is held of an earlier placement is dropped when a later one ends.

Tests changed: the model looks at the gate's messages after each input instead of at the end of a pass. It still fails at once if a refused attempt may start.

--- a/internal/gate/end.go
+++ b/internal/gate/end.go
@@ -65,12 +65,21 @@
 		r.step(eventError)
 		g.stats.Failed++
 	}
+	g.dropEnd(r)
 	if len(e.Result) > 0 || e.Detail != "" {
 		r.end = &taskEnd{result: e.Result, detail: e.Detail}
 		g.heldBytes += r.end.bytes()
 	}
 }
 
+// dropEnd drops what is held of an earlier placement's end.
+func (g *Gate) dropEnd(r *taskRecord) {
+	if r.end != nil {
+		g.heldBytes -= r.end.bytes()
+		r.end = nil
+	}
+}
+
 func (e *taskEnd) bytes() int { return len(e.result) + len(e.detail) }
 
 // removeForgotten removes a forgotten job if none of its tasks is queued or
@@ -84,9 +93,7 @@
 		if r.blocksLeave() {
 			g.unsafeTasks--
 		}
-		if r.end != nil {
-			g.heldBytes -= r.end.bytes()
-		}
+		g.dropEnd(r)
 	}
 	delete(g.jobs, j.number)
 	j.group.jobs--
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -376,3 +376,24 @@
 	started, _ = b.settle()
 	assert.DeepEqual(t, started, []uint32{3})
 }
+
+// TestErrorDetailsOfRefusedRequestsFilledTheAgent places a task again and again while the
+// minion is down, which gives an error detail each time.
+func TestErrorDetailsOfRefusedRequestsFilledTheAgent(t *testing.T) {
+	limits := testLimits()
+	limits.ResultBytes = 100 // room for some details
+	b := newTestbed(t, limits)
+	for attempt := range uint32(20) {
+		b.start(1, attempt+1)
+		started, _ := b.settle()
+		assert.DeepEqual(t, started, []uint32{1})
+		b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{7, 1}, Kind: EndUnsent, Reason: ReasonMinionDown, Detail: "connection refused"})
+		b.wantUpdate(1, attempt+1, notRun, ReasonMinionDown)
+	}
+	b.start(1, 21)
+	b.settle()
+	b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{7, 1}})
+	_, updates := b.settle()
+	assert.Equal(t, updates[0].Outcome, done)
+	assert.Equal(t, updates[0].Detail, "", "a detail of an earlier placement")
+}
--- a/internal/gate/property_test.go
+++ b/internal/gate/property_test.go
@@ -48,6 +48,8 @@
 	running map[Key]bool
 	// notRun holds the placements that the gate has answered as not run.
 	notRun map[placement]bool
+	// checked holds the messages of this pass that checkSend has seen.
+	checked map[*wirepb.Envelope]bool
 	// reportedEpoch is the newest epoch per group for which the gate sent a report.
 	// configuredEpoch is the newest configured epoch per group.
 	reportedEpoch, configuredEpoch map[uint64]uint64
@@ -55,7 +57,7 @@
 
 func newWorkload(t *rapid.T) *workload {
 	w := &workload{t: t, started: map[Key]bool{}, running: map[Key]bool{}, notRun: map[placement]bool{},
-		entries:       map[SessionID]uint64{},
+		entries: map[SessionID]uint64{}, checked: map[*wirepb.Envelope]bool{},
 		reportedEpoch: map[uint64]uint64{}, configuredEpoch: map[uint64]uint64{1: 1, 2: 1, 3: 1}}
 	w.slots = workloadSlots
 	w.g = New(Config{Incarnation: 9, Services: []string{"proof"}, Limits: w.limits()})
@@ -214,10 +216,20 @@
 	for _, s := range actions.Starts {
 		w.checkStart(s)
 	}
-	for _, s := range actions.Sends {
-		w.checkSend(s.Envelope)
-	}
+	w.checkSends()
 	w.g.ClearActions()
+	clear(w.checked)
+}
+
+// checkSends checks the messages since its last call. It is called after each input,
+// while the records still are as they were reported.
+func (w *workload) checkSends() {
+	for _, s := range w.g.actions.Sends {
+		if !w.checked[s.Envelope] {
+			w.checked[s.Envelope] = true
+			w.checkSend(s.Envelope)
+		}
+	}
 }
 
 func (w *workload) checkStart(s Start) {
@@ -294,6 +306,7 @@
 	return func(t *rapid.T) {
 		w.t = t
 		input()
+		w.checkSends()
 		if w.chance("settle", 70) {
 			w.settle()
 		}
