Dispatcher: an innocent task is not given up with the third crash

Cause: all tasks that were at work count alike, and the third crash gave each of them up.

Change: what speaks against a task decides. After two crashes it is given up if it was the last to be started at both, or the last and the only suspect at one; after three if it was the last at one; after four in any case. The bound of the callers is three starts after the third crash: a fourth crash follows one such start, so two are left for starts that are on their way.

The bound in TestCrashCountsNeverFall is maxCrashes, as before, now 4.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -9,10 +9,14 @@
 
 const (
 	// maxCrashes is the number of minions that may crash under a task before it is given
-	// up, whatever ran beside it.
-	maxCrashes = 3
-	// maxCrashesAlone is the same for a task that is the only one to blame.
-	maxCrashesAlone = 2
+	// up, however little speaks against it. The callers' bound is three starts after the
+	// third crash; two of them are left for starts that are on their way meanwhile.
+	maxCrashes = 4
+	// maxCrashesIfLikely is the same for a task that was the last to be started at one of
+	// these minions.
+	maxCrashesIfLikely = 3
+	// maxCrashesIfToBlame is the same for a task that alone is to blame.
+	maxCrashesIfToBlame = 2
 	// crashMemoryTime is how long the crashes under a job are remembered after the last
 	// one. It outlasts the time that callers go on sending a job.
 	crashMemoryTime = time.Minute
@@ -47,9 +51,19 @@
 
 func (c *Crash) id() crashID { return crashID{c.Endpoint, c.StartedUnixMs} }
 
+// taskCrash is a crash under a task.
+type taskCrash struct {
+	crashID
+	// wasLast reports whether the task's job was the last to be started there. A task that
+	// crashes its minion does so soon after its start, mostly before the next starts.
+	wasLast bool
+	// wasOnlySuspect reports whether no minion had crashed under another job that ran there.
+	wasOnlySuspect bool
+}
+
 // jobCrashes are the crashes under the tasks of a job.
 type jobCrashes struct {
-	tasks map[runtable.TaskID][]crashID
+	tasks map[runtable.TaskID][]taskCrash
 	// last is when the last one was counted.
 	last time.Time
 	// givenUp is set once the job is given up for them.
@@ -57,15 +71,44 @@
 }
 
 // add counts a crash under a task. It reports false if it is counted already.
-func (j *jobCrashes) add(name runtable.TaskID, id crashID) bool {
+func (j *jobCrashes) add(name runtable.TaskID, c taskCrash) bool {
 	known := j.tasks[name]
-	if slices.Contains(known, id) || len(known) == maxCrashes {
+	same := func(k taskCrash) bool { return k.crashID == c.crashID }
+	if slices.ContainsFunc(known, same) || len(known) == maxCrashes {
 		return false
 	}
-	j.tasks[name] = append(known, id)
+	j.tasks[name] = append(known, c)
 	return true
 }
 
+// mustGiveUp reports whether a task is given up after crashes of its minions. All but one
+// of the tasks at a crash are innocent, and a job that could be done is of no use as failed.
+func mustGiveUp(crashes []taskCrash) bool {
+	switch n := len(crashes); {
+	case n >= maxCrashes:
+		return true
+	case n >= maxCrashesIfLikely:
+		return slices.ContainsFunc(crashes, func(c taskCrash) bool { return c.wasLast })
+	case n >= maxCrashesIfToBlame:
+		return isToBlame(crashes)
+	default:
+		return false
+	}
+}
+
+// isToBlame reports whether a task alone is to blame: it was the last at each crash, or the
+// last and the only suspect at one.
+func isToBlame(crashes []taskCrash) bool {
+	alwaysLast := true
+	for _, c := range crashes {
+		if c.wasLast && c.wasOnlySuspect {
+			return true
+		}
+		alwaysLast = alwaysLast && c.wasLast
+	}
+	return alwaysLast
+}
+
 // crashMemory holds the crashes under jobs. It outlasts their submissions: a job that its
 // caller sends again goes on with its counts.
 type crashMemory struct {
@@ -84,9 +127,11 @@
 
 // count counts a crash under its tasks, and returns the tasks for which it is new.
 func (m *crashMemory) count(now time.Time, c *Crash) []runtable.TaskID {
+	suspects := m.suspectsAt(c)
 	var counted []runtable.TaskID
 	for _, run := range c.Runs {
-		if m.of(run.Job).add(run.TaskID, c.id()) {
+		crash := taskCrash{crashID: c.id(), wasLast: run.Job == c.lastJob(), wasOnlySuspect: len(suspects) == 1 && suspects[run.Job]}
+		if m.of(run.Job).add(run.TaskID, crash) {
 			counted = append(counted, run.TaskID)
 			m.touch(now, run.Job)
 		}
@@ -95,11 +140,31 @@
 	return counted
 }
 
+// lastJob returns the job that was the last to be started.
+func (c *Crash) lastJob() string {
+	if len(c.Runs) == 0 {
+		return ""
+	}
+	return c.Runs[len(c.Runs)-1].Job
+}
+
+// suspectsAt returns the crashed jobs under which a minion had crashed before.
+func (m *crashMemory) suspectsAt(c *Crash) map[string]bool {
+	suspects := map[string]bool{}
+	another := func(k taskCrash) bool { return k.crashID != c.id() }
+	for _, run := range c.Runs {
+		if slices.ContainsFunc(m.under(run.TaskID), another) {
+			suspects[run.Job] = true
+		}
+	}
+	return suspects
+}
+
 // of returns the crashes under a job, which may be none yet.
 func (m *crashMemory) of(job string) *jobCrashes {
 	j := m.jobs[job]
 	if j == nil {
-		j = &jobCrashes{tasks: map[runtable.TaskID][]crashID{}}
+		j = &jobCrashes{tasks: map[runtable.TaskID][]taskCrash{}}
 		m.jobs[job] = j
 	}
 	return j
@@ -127,62 +192,33 @@
 	}
 }
 
-// crashes returns how many minions have crashed under a task.
-func (m *crashMemory) crashes(name runtable.TaskID) int {
+// under returns the crashes under a task.
+func (m *crashMemory) under(name runtable.TaskID) []taskCrash {
 	if j := m.jobs[name.Job]; j != nil {
-		return len(j.tasks[name])
+		return j.tasks[name]
 	}
-	return 0
+	return nil
 }
 
+// crashes returns how many minions have crashed under a task.
+func (m *crashMemory) crashes(name runtable.TaskID) int { return len(m.under(name)) }
+
 func (m *crashMemory) givenUp(job string) bool {
 	j := m.jobs[job]
 	return j != nil && j.givenUp
 }
 
-// toBlame returns the job that alone is to blame for a crash, or "". It is the only one
-// of the crashed jobs under which a minion had crashed before, and the last that was
-// started: a task that crashes its minion does so soon after its start, and one that was
-// started later may be the first of another such job.
-func (m *crashMemory) toBlame(c *Crash) string {
-	if len(c.Runs) == 0 {
-		return ""
-	}
-	last := c.Runs[len(c.Runs)-1].Job
-	suspect := false
-	for _, run := range c.Runs {
-		if m.crashes(run.TaskID) < maxCrashesAlone { // this crash is its first
-			continue
-		}
-		if run.Job != last {
-			return ""
-		}
-		suspect = true
-	}
-	if !suspect {
-		return ""
-	}
-	return last
-}
-
-// mustGiveUp reports whether a task is given up after a crash for which a job is to blame.
-func (m *crashMemory) mustGiveUp(name runtable.TaskID, blamed string) bool {
-	n := m.crashes(name)
-	return n >= maxCrashes || n >= maxCrashesAlone && name.Job == blamed
-}
-
 // MinionCrashed counts a crash under the tasks that ran at the minion, whoever placed
 // them, and gives up the jobs of those that must not start again. It comes before the
 // ends of their runs.
 func (d *Dispatcher) MinionCrashed(now time.Time, c Crash) {
 	counted := d.crashes.count(now, &c)
-	blamed := d.crashes.toBlame(&c)
 	for _, name := range counted {
 		o := d.jobWithRuns(name.Job)
 		if o != nil {
 			d.out.Crashes = append(d.out.Crashes, CrashCount{TaskID: name, Endpoint: c.Endpoint, Crashes: d.crashes.crashes(name)})
 		}
-		if d.crashes.mustGiveUp(name, blamed) && (o == nil || !o.isDone(name)) {
+		if mustGiveUp(d.crashes.under(name)) && (o == nil || !o.isDone(name)) {
 			d.giveUpForCrashes(now, name.Job)
 		}
 	}
