Dispatcher: a suspect is served beside another where there are fewer minions than suspects

Cause: some 40 suspects a second for 11 minions; a task waited though there was room for it.

Change: a suspect goes where suspects of the fewest other jobs are.

--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -13,8 +13,8 @@
 // This answers the load of a queue of which every tenth job crashes each minion that starts
 // it. A minion has ten tasks at work, so one crash makes ten suspects. Placed like other
 // tasks, a deadly one would crash its next minions under as many others, and nobody could
-// tell which is to blame. So the suspects of two jobs are kept apart, those of one job
-// together, and they go where least is at work.
+// tell which is to blame. So the suspects of two jobs are kept apart as far as there are
+// minions for it, those of one job together, and they go where least is at work.
 
 // suspectJobs holds, by runner, the jobs of which suspects may be at work there.
 type suspectJobs map[RunnerID]map[string]bool
@@ -26,10 +26,12 @@
 	s[id][job] = true
 }
 
-// others reports whether suspects of other jobs than the given one may be at work.
-func (s suspectJobs) others(id RunnerID, job string) bool {
-	n := len(s[id])
-	return n > 1 || n == 1 && !s[id][job]
+// others returns of how many other jobs than the given one suspects may be at work.
+func (s suspectJobs) others(id RunnerID, job string) int {
+	if s[id][job] {
+		return len(s[id]) - 1
+	}
+	return len(s[id])
 }
 
 // isSuspect reports whether a minion has crashed under a task of the job.
@@ -61,27 +63,27 @@
 }
 
 // chooseForSuspect returns the runner for a suspect, or nil: of those with enough free
-// capacity and no suspect of another job, one with suspects of its own job, or else the one
-// with the least work.
+// capacity, one with suspects of the fewest other jobs, with suspects of its own job, and
+// with the least work, in this order.
 func (d *Dispatcher) chooseForSuspect(now time.Time, o *openJob, step int, t *task, suspects suspectJobs) *runner {
 	var best *runner
 	for _, r := range d.sortedRunners {
-		if !o.Steps[step].Need.Fits(r.Free) || suspects.others(r.id, o.ID) || !d.mayRunAt(now, o, step, r) {
+		if !o.Steps[step].Need.Fits(r.Free) || !d.mayRunAt(now, o, step, r) {
 			continue
 		}
-		if best == nil || compareForSuspect(t, r, best, suspects) < 0 {
+		if best == nil || compareForSuspect(o, t, r, best, suspects) < 0 {
 			best = r
 		}
 	}
 	return best
 }
 
-// compareForSuspect orders two runners for a suspect, the better first. Neither has suspects
-// of other jobs.
-func compareForSuspect(t *task, a, b *runner, suspects suspectJobs) int {
+// compareForSuspect orders two runners for a suspect, the better first.
+func compareForSuspect(o *openJob, t *task, a, b *runner, suspects suspectJobs) int {
 	return cmp.Or(
 		falseFirst(t.avoids(a), t.avoids(b)),
-		falseFirst(len(suspects[a.id]) == 0, len(suspects[b.id]) == 0),
+		cmp.Compare(suspects.others(a.id, o.ID), suspects.others(b.id, o.ID)),
+		falseFirst(!suspects[a.id][o.ID], !suspects[b.id][o.ID]),
 		cmp.Compare(a.work(), b.work()),
 	)
 }
