--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -62,6 +62,8 @@
 	// firstWeight is the load of the first dispatcher relative to that of
 	// another one; 0 means the same.
 	firstWeight int
+	// crashAt is when every third minion crashes, for crashFor; 0 means never.
+	crashAt, crashFor time.Duration
 }
 
 const (
@@ -91,6 +93,8 @@
 	// firstOnTimeShare is the share of the first dispatcher's jobs that end on
 	// time.
 	firstOnTimeShare float64
+	// hit describes the jobs of which a run was at work at a minion that crashed.
+	hit hitJobs
 }
 
 // simulation runs a load in virtual time, by default with three dispatchers and
@@ -144,6 +148,8 @@
 	free      Need
 	// watchers are the dispatchers that get reports.
 	watchers []*watcher
+	// down is set while the minion is down after a crash.
+	down bool
 }
 
 // watcher is a runner's state for one dispatcher.
@@ -205,6 +211,7 @@
 		c.perSecond *= float64(spec.runners) / dailyRunners
 		sim.scheduleArrivals(spec, c)
 	}
+	sim.scheduleCrash(spec)
 	sim.every(10*time.Millisecond, func() {
 		for i, d := range sim.cores {
 			d.Tick(sim.now)
@@ -391,6 +398,7 @@
 
 func (sim *simulation) answered(a Answer) {
 	j := sim.jobs[a.Job.ID]
+	sim.recordHit(j, a)
 	switch {
 	case a.Result == Completed && !sim.now.After(j.ideal):
 		sim.out.onTime++
@@ -431,12 +439,19 @@
 	out := r.table.TakeOutput()
 	for _, o := range out.Starts {
 		ref := runtable.RunID{TaskID: o.TaskID, Run: o.Run}
+		if r.down {
+			sim.schedule(time.Millisecond, func() { r.table.StartAnswered(sim.now, ref, refusedStart) })
+			continue
+		}
 		r.startedAt[ref] = sim.now
 		r.table.StartAnswered(sim.now, ref, runtable.Started)
 		long := time.Duration(float64(sim.jobs[o.Job].run[o.Index]) * r.pace)
 		sim.schedule(long, func() { sim.finish(r, ref, runtable.Done) })
 	}
 	for _, ref := range out.Stops {
+		if r.down {
+			continue
+		}
 		r.table.StopAnswered(sim.now, ref)
 		sim.schedule(5*time.Millisecond, func() { sim.finish(r, ref, runtable.Stopped) })
 	}
@@ -461,7 +476,7 @@
 	sim.messages++
 	status := RunnerStatus{
 		Name: fmt.Sprint(r.id), Service: "s", Zone: "z", Endpoint: fmt.Sprint(r.id), Capacity: r.table.Capacity(),
-		Free: r.table.Free(), Ready: true, Placed: to.placed, RuntimeRatio: r.table.RuntimeRatio(), FailureRate: r.table.FailureRate(),
+		Free: r.table.Free(), Ready: r.table.Ready(), Placed: to.placed, RuntimeRatio: r.table.RuntimeRatio(), FailureRate: r.table.FailureRate(),
 	}
 	sim.schedule(hop, func() {
 		for _, e := range ends {
@@ -487,6 +502,9 @@
 
 // list hands the table the minion's list of runs.
 func (sim *simulation) list(r *simRunner) {
+	if r.down {
+		return
+	}
 	listing := runtable.Listing{SentAt: sim.now, Ended: r.ends}
 	r.ends = nil
 	for ref, startedAt := range r.startedAt {
