--- a/internal/dispatch/mass_crash_test.go
+++ b/internal/dispatch/mass_crash_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"endivewing/internal/runtable"
+	"gotest.tools/v3/assert"
 )
 
 // hitJobs describes the jobs of which a run was at work at a minion that crashed.
@@ -79,16 +79,18 @@
 		(sum / time.Duration(len(h.took))).Milliseconds(), h.took[len(h.took)*9/10].Milliseconds(), h.took[len(h.took)-1].Milliseconds())
 }
 
-// TestMassCrash prints what becomes of a load in which a third of the minions crash for 0.2 s.
-func TestMassCrash(t *testing.T) {
-	for _, fleet := range [][2]int{{48, 6}} {
-		for _, factor := range []float64{1.3} {
-			for _, seed := range loadSeeds {
-				out := replay(loadSpec{seed: seed, seconds: 7, factor: factor, runners: fleet[0], dispatchers: fleet[1], crashAt: 4 * time.Second, crashFor: 200 * time.Millisecond})
-				t.Logf("%d runners, %.1f times, seed %d: value %.4f on time %d late %d refused %d of %d; %v", fleet[0], factor, seed, out.value, out.onTime, out.late, out.refused, out.submitted, &out.hit)
-			}
+// TestMassCrashIsServed: a third of 48 minions crash for 0.2 s below the capacity. Of the jobs
+// that lose runs 116 of 455 still end on time if a task goes where it is expected to end first.
+func TestMassCrashIsServed(t *testing.T) {
+	onTime, jobs := 0, 0
+	for _, factor := range []float64{0.7, 1} {
+		for _, seed := range loadSeeds {
+			out := replay(loadSpec{seed: seed, seconds: 7, factor: factor, runners: 48, dispatchers: 6, crashAt: 4 * time.Second, crashFor: 200 * time.Millisecond})
+			t.Logf("%.1f times, seed %d: value %.4f, on time %d, late %d, refused %d of %d; %v",
+				factor, seed, out.value, out.onTime, out.late, out.refused, out.submitted, &out.hit)
+			onTime += out.hit.onTime
+			jobs += len(out.hit.jobs)
 		}
 	}
+	assert.Check(t, onTime >= 105, "%d of %d", onTime, jobs)
 }
-
-var _ = runtable.Done
--- a/internal/dispatch/review_test.go
+++ b/internal/dispatch/review_test.go
@@ -10,10 +10,10 @@
 	"endivewing/internal/runtable"
 )
 
-// TestThirdCrashOfAnEndingJobWasNotHeld: the third crash under a task is reported after the end of
+// TestLastCrashUnderAnEndingJobWasLost: the crash with which a task must be given up under a task is reported after the end of
 // its run, while another run of the job, which its caller gave up, is still at work. The job is
 // sent again and must not be started any more.
-func TestThirdCrashUnderAnEndingJobWasLost(t *testing.T) {
+func TestLastCrashUnderAnEndingJobWasLost(t *testing.T) {
 	d := largeFleet(6)
 	d.Submit(ms(0), namedJob("deadly", 2))
 	out := d.TakeOutput()
@@ -28,10 +28,8 @@
 			}
 		}
 	}
-	_ = otherAt
-	_ = other
-	// Two crashes beside another suspect, reported by other runners for earlier submissions.
-	for born := range int64(2) {
+	// Crashes beside another suspect that was started later, under earlier submissions.
+	for born := range int64(maxCrashes - 1) {
 		d.MinionCrashed(ms(1), Crash{Endpoint: "m9", StartedUnixMs: born, Runs: []runtable.RunID{first, runOf("x", 0, 1)}})
 	}
 	assert.Assert(t, !d.crashes.givenUp("deadly"))
@@ -39,7 +37,7 @@
 	// The minion is silent: the lease ends the run first, the crash is known when it is back.
 	d.RunEnded(ms(900), firstAt, TaskEnd{RunID: first, Outcome: runtable.Stopped, Reason: runtable.ReasonLeaseExpired})
 	d.MinionCrashed(ms(901), Crash{Endpoint: fmt.Sprint("m", firstAt), StartedUnixMs: 7, Runs: []runtable.RunID{first}})
-	assert.Check(t, d.crashes.givenUp("deadly"), "after the third crash")
+	assert.Check(t, d.crashes.givenUp("deadly"), "after the last crash")
 	d.RunEnded(ms(950), otherAt, TaskEnd{RunID: other, Outcome: runtable.Stopped, Reason: runtable.ReasonStopped})
 	d.TakeOutput()
 	starts := 0
@@ -67,7 +65,7 @@
 		}
 		d.TakeOutput()
 	}
-	assert.Equal(t, starts, 0, "starts after the third crash")
+	assert.Equal(t, starts, 0, "starts after the last crash")
 }
 
 // BenchmarkPlaceSuspects measures one report of a runner with waiting suspects.
@@ -149,3 +147,47 @@
 		})
 	}
 }
+
+// TestSuspectWentToASlowMinion: a minion that is slow, fails or is far from the data has the least
+// at work, since other tasks avoid it.
+func TestSuspectWentToASlowMinion(t *testing.T) {
+	for name, spoil := range map[string]func(*RunnerStatus){
+		"slow":          func(s *RunnerStatus) { s.RuntimeRatio = 2.4 },
+		"failing":       func(s *RunnerStatus) { s.FailureRate = 0.45 },
+		"far from data": func(s *RunnerStatus) { s.Labels = nil },
+	} {
+		d := suspectFleet(1, "a")
+		poor, good := minionStatus("m1", 10_000, "r1"), minionStatus("m2", 9_000, "r1")
+		spoil(&poor)
+		d.UpdateRunner(ms(1), 1, poor)
+		d.UpdateRunner(ms(1), 2, good)
+		for _, o := range d.jobs {
+			o.Steps[0].Rack = "r1"
+		}
+		assert.Check(t, tasksPerRunner(d.TakeOutput())[2] == 1, name)
+	}
+}
+
+// TestLargeCrashReportHeldUpADispatcher: a million runs in one report, which fits a frame.
+func TestLargeCrashReportHeldUpADispatcher(t *testing.T) {
+	for name, run := range map[string]func(i int) runtable.RunID{
+		"jobs":       func(i int) runtable.RunID { return runOf(fmt.Sprint(i), 0, 1) },
+		"one_job":    func(i int) runtable.RunID { return runOf("a", uint32(i), 1) },
+		"empty_name": func(int) runtable.RunID { return runOf("", 0, 1) },
+	} {
+		var runs []runtable.RunID
+		for i := range 1_000_000 {
+			runs = append(runs, run(i))
+		}
+		d := largeFleet(1)
+		began := time.Now()
+		d.MinionCrashed(ms(0), Crash{Endpoint: "m", StartedUnixMs: 1, Runs: runs})
+		took := time.Since(began)
+		held := 0
+		for _, j := range d.crashes.jobs {
+			held += len(j.tasks)
+		}
+		t.Log(name, took, len(d.crashes.jobs), held)
+		assert.Check(t, held <= maxCrashMemory, "%s: %d tasks remembered", name, held)
+	}
+}
