Dispatcher: the last crash under a task of an ending job is counted

What was seen (by review): a task that had reached its last crash could be started without end. A crash that is reported after the end of its run, while another run of the given-up job was still at work, met a task that counted as done, and later crashes were no longer counted as they exceeded the limit: ten starts of ten in TestLastCrashUnderAnEndingJobWasLost, which failed before.

Cause: in an ending job a task counts as done once its run has ended in any way, and only newly counted crashes were judged.

Change: only a task of an open job can be done, and every crash report judges all tasks that it names.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -212,15 +212,24 @@
 // them, and gives up the jobs of those that must not start again. It comes before the
 // ends of their runs.
 func (d *Dispatcher) MinionCrashed(now time.Time, c Crash) {
-	counted := d.crashes.count(now, &c)
-	for _, name := range counted {
-		o := d.jobWithRuns(name.Job)
-		if o != nil {
+	for _, name := range d.crashes.count(now, &c) {
+		if d.jobWithRuns(name.Job) != nil {
 			d.out.Crashes = append(d.out.Crashes, CrashCount{TaskID: name, Endpoint: c.Endpoint, Crashes: d.crashes.crashes(name)})
 		}
-		if mustGiveUp(d.crashes.under(name)) && (o == nil || !o.isDone(name)) {
-			d.giveUpForCrashes(now, name.Job)
-		}
+	}
+	for _, run := range c.Runs {
+		d.giveUpIfDeadly(now, run.TaskID)
+	}
+}
+
+// giveUpIfDeadly gives up the job of a task that must not start again, unless the task is
+// done. In an ending job a task counts as done once its run has ended in any way.
+func (d *Dispatcher) giveUpIfDeadly(now time.Time, name runtable.TaskID) {
+	if open := d.jobs[name.Job]; open != nil && open.isDone(name) {
+		return
+	}
+	if mustGiveUp(d.crashes.under(name)) && !d.crashes.givenUp(name.Job) {
+		d.giveUpForCrashes(now, name.Job)
 	}
 }
 
