Dispatcher: a suspect goes where it is expected to end first

Cause: of the minions without other suspects a suspect went to the one with the least work. Those are the slow, the failing and the far ones, since other tasks avoid them.

--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -16,6 +16,10 @@
 // tell which is to blame. So the suspects of two jobs are kept apart as far as there are
 // minions for it, those of one job together, and they go where least is at work.
 
+// neighborCost is the cost of a full minion for a suspect, whose crash would take the tasks
+// beside it along. It outweighs the distance between zones.
+const neighborCost = 40 * time.Millisecond
+
 // suspectJobs holds, by runner, the jobs of which suspects may be at work there.
 type suspectJobs map[RunnerID]map[string]bool
 
@@ -64,14 +68,14 @@
 
 // chooseForSuspect returns the runner for a suspect, or nil: of those with enough free
 // capacity, one with suspects of the fewest other jobs, with suspects of its own job, and
-// with the least work, in this order.
+// where it is expected to end first beside little work, in this order.
 func (d *Dispatcher) chooseForSuspect(now time.Time, o *openJob, step int, t *task, suspects suspectJobs) *runner {
 	var best *runner
 	for _, r := range d.sortedRunners {
 		if !o.Steps[step].Need.Fits(r.Free) || !d.mayRunAt(now, o, step, r) {
 			continue
 		}
-		if best == nil || compareForSuspect(o, t, r, best, suspects) < 0 {
+		if best == nil || d.compareForSuspect(o, step, t, r, best, suspects) < 0 {
 			best = r
 		}
 	}
@@ -79,12 +83,13 @@
 }
 
 // compareForSuspect orders two runners for a suspect, the better first.
-func compareForSuspect(o *openJob, t *task, a, b *runner, suspects suspectJobs) int {
+func (d *Dispatcher) compareForSuspect(o *openJob, step int, t *task, a, b *runner, suspects suspectJobs) int {
+	s := &o.Steps[step]
 	return cmp.Or(
 		falseFirst(t.avoids(a), t.avoids(b)),
 		cmp.Compare(suspects.others(a.id, o.ID), suspects.others(b.id, o.ID)),
 		falseFirst(!suspects[a.id][o.ID], !suspects[b.id][o.ID]),
-		cmp.Compare(a.work(), b.work()),
+		cmp.Compare(a.costOfSuspect(s, d.zone), b.costOfSuspect(s, d.zone)),
 	)
 }
 
@@ -99,5 +104,8 @@
 	}
 }
 
-// work returns the processor capacity that is in use, in thousandths of a core.
-func (r *runner) work() int64 { return r.Capacity.CPU - r.Free.CPU }
+// costOfSuspect returns the cost of a task of a step that is a suspect.
+func (r *runner) costOfSuspect(s *Step, zone string) time.Duration {
+	used := 1 - float64(r.Free.CPU)/float64(max(r.Capacity.CPU, 1))
+	return r.cost(s, zone) + time.Duration(float64(neighborCost)*used)
+}
