Dispatcher: waiting suspects no longer take the processor

What was seen (by review): with 300 runners and 1,000 waiting jobs of suspects each report of a runner took 42.7 ms, and with one remembered crash anywhere a placement among 3,000 open jobs took 123 us instead of 3.4.

Cause: each waiting suspect looked at all runners, the bound of the free capacity was computed again after jobs of which nothing was placed, and each placement walked all open jobs to find suspects at work.

Change: once a suspect of a step fits nowhere, the others of the step are passed over; the bound is computed again only after a placement; suspects at work are looked for when the first suspect is placed, through the smaller of two lists.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -3,7 +3,7 @@
 import "time"
 
 // choose returns the runner for a task, or nil. A suspect never waits at a full runner.
-func (d *Dispatcher) choose(now time.Time, o *openJob, step int, t *task, suspect bool, suspects suspectJobs) *runner {
+func (d *Dispatcher) choose(now time.Time, o *openJob, step int, t *task, suspect bool, suspects *suspectsAtWork) *runner {
 	if suspect {
 		return d.chooseForSuspect(now, o, step, t, suspects)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,10 +20,7 @@
 		return
 	}
 	free := freeCapacity{runners: d.sortedRunners}
-	var suspects suspectJobs
-	if len(d.crashes.jobs) > 0 {
-		suspects = d.findSuspects()
-	}
+	suspects := &suspectsAtWork{dispatcher: d}
 	for _, o := range d.byUrgency(now) {
 		if !free.mayPlace(o) || !o.mayPlace(now) {
 			continue
@@ -31,27 +28,30 @@
 		if o.Priority >= allOrNothingPriority && !o.mayHaveRun() && !d.allFit(o) {
 			continue
 		}
-		d.placeJob(now, o, suspects)
-		free.valid = false
+		if d.placeJob(now, o, suspects) {
+			free.valid = false
+		}
 		if !o.hasReadyTasks() {
 			d.dequeue(o)
 		}
 	}
 }
 
-// placeJob places the tasks of a job that fit.
-func (d *Dispatcher) placeJob(now time.Time, o *openJob, suspects suspectJobs) {
+// placeJob places the tasks of a job that fit, and reports whether there were any.
+func (d *Dispatcher) placeJob(now time.Time, o *openJob, suspects *suspectsAtWork) bool {
+	before := o.starts
 	for step := range o.Steps {
 		if o.waiting[step] > 0 && o.stepReady(step) {
 			d.placeStep(now, o, step, suspects)
 		}
 	}
+	return o.starts > before
 }
 
-// placeStep places the tasks of a step that fit. suspects is where suspects are at work; it
-// takes in those that are placed.
-func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int, suspects suspectJobs) {
+// placeStep places the tasks of a step that fit. suspects takes in those that are placed.
+func (d *Dispatcher) placeStep(now time.Time, o *openJob, step int, suspects *suspectsAtWork) {
 	wait := d.runnerWait(now, o)
+	suspectsFit := true
 	batches := map[RunnerID]*Placement{}
 	var order []*Placement
 	for i := range o.tasks[step] {
@@ -60,8 +60,12 @@
 			continue
 		}
 		suspect := d.isSuspect(o, step, i)
+		if suspect && !suspectsFit {
+			continue
+		}
 		r := d.choose(now, o, step, t, suspect, suspects)
 		if r == nil && suspect {
+			suspectsFit = false
 			continue // other tasks of the step may run where it may not
 		}
 		if r == nil {
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -20,56 +20,81 @@
 // beside it along. It outweighs the distance between zones.
 const neighborCost = 40 * time.Millisecond
 
-// suspectJobs holds, by runner, the jobs of which suspects may be at work there.
-type suspectJobs map[RunnerID]map[string]bool
+// suspectsAtWork holds, by runner, the jobs of which suspects may be at work there. It
+// looks for them when it is first asked: few placements have a suspect to place.
+type suspectsAtWork struct {
+	dispatcher *Dispatcher
+	jobs       map[RunnerID]map[string]bool
+}
 
-func (s suspectJobs) add(id RunnerID, job string) {
-	if s[id] == nil {
-		s[id] = map[string]bool{}
+// at returns the jobs of which suspects may be at work at a runner.
+func (s *suspectsAtWork) at(id RunnerID) map[string]bool {
+	if s.jobs == nil {
+		s.jobs = map[RunnerID]map[string]bool{}
+		s.find()
 	}
-	s[id][job] = true
+	return s.jobs[id]
 }
 
-// others returns of how many other jobs than the given one suspects may be at work.
-func (s suspectJobs) others(id RunnerID, job string) int {
-	if s[id][job] {
-		return len(s[id]) - 1
+func (s *suspectsAtWork) add(id RunnerID, job string) {
+	if s.at(id) == nil {
+		s.jobs[id] = map[string]bool{}
 	}
-	return len(s[id])
+	s.jobs[id][job] = true
 }
 
-// isSuspect reports whether a minion has crashed under a task of the job.
-func (d *Dispatcher) isSuspect(o *openJob, step, index int) bool {
-	return d.crashes.crashes(runtable.TaskID{Job: o.ID, Step: uint32(step), Index: uint32(index)}) > 0
+// others returns of how many other jobs than the given one suspects may be at work.
+func (s *suspectsAtWork) others(id RunnerID, job string) int {
+	jobs := s.at(id)
+	if jobs[job] {
+		return len(jobs) - 1
+	}
+	return len(jobs)
 }
 
-// findSuspects returns where suspects may be at work.
-func (d *Dispatcher) findSuspects() suspectJobs {
-	found := suspectJobs{}
+// find looks through the jobs with crashes, or through those that are here if they are
+// fewer.
+func (s *suspectsAtWork) find() {
+	d := s.dispatcher
+	if len(d.crashes.jobs) < len(d.jobs)+len(d.ending) {
+		for id := range d.crashes.jobs {
+			s.addTasksOf(d.jobs[id])
+			s.addTasksOf(d.ending[id])
+		}
+		return
+	}
 	for _, jobs := range []map[string]*openJob{d.jobs, d.ending} {
 		for id, o := range jobs {
 			if d.crashes.jobs[id] != nil {
-				d.findSuspectsOf(o, found)
+				s.addTasksOf(o)
 			}
 		}
 	}
-	return found
 }
 
-func (d *Dispatcher) findSuspectsOf(o *openJob, found suspectJobs) {
+// addTasksOf adds the suspects of a job that may be at work. The job may be nil.
+func (s *suspectsAtWork) addTasksOf(o *openJob) {
+	if o == nil {
+		return
+	}
 	for step, tasks := range o.tasks {
 		for i := range tasks {
-			if t := &tasks[i]; t.mayRunAt(t.runner) && d.isSuspect(o, step, i) {
-				found.add(t.runner, o.ID)
+			if t := &tasks[i]; t.mayRunAt(t.runner) && s.dispatcher.isSuspect(o, step, i) {
+				s.add(t.runner, o.ID)
 			}
 		}
 	}
 }
 
+// isSuspect reports whether a minion has crashed under a task of the job.
+func (d *Dispatcher) isSuspect(o *openJob, step, index int) bool {
+	return d.crashes.crashes(runtable.TaskID{Job: o.ID, Step: uint32(step), Index: uint32(index)}) > 0
+}
+
 // chooseForSuspect returns the runner for a suspect, or nil: of those with enough free
 // capacity, one with suspects of the fewest other jobs, with suspects of its own job, and
 // where it is expected to end first beside little work, in this order.
-func (d *Dispatcher) chooseForSuspect(now time.Time, o *openJob, step int, t *task, suspects suspectJobs) *runner {
+func (d *Dispatcher) chooseForSuspect(now time.Time, o *openJob, step int, t *task, suspects *suspectsAtWork) *runner {
 	var best *runner
 	for _, r := range d.sortedRunners {
 		if !o.Steps[step].Need.Fits(r.Free) || !d.mayRunAt(now, o, step, r) {
@@ -83,12 +108,12 @@
 }
 
 // compareForSuspect orders two runners for a suspect, the better first.
-func (d *Dispatcher) compareForSuspect(o *openJob, step int, t *task, a, b *runner, suspects suspectJobs) int {
+func (d *Dispatcher) compareForSuspect(o *openJob, step int, t *task, a, b *runner, suspects *suspectsAtWork) int {
 	s := &o.Steps[step]
 	return cmp.Or(
 		falseFirst(t.avoids(a), t.avoids(b)),
 		cmp.Compare(suspects.others(a.id, o.ID), suspects.others(b.id, o.ID)),
-		falseFirst(!suspects[a.id][o.ID], !suspects[b.id][o.ID]),
+		falseFirst(!suspects.at(a.id)[o.ID], !suspects.at(b.id)[o.ID]),
 		cmp.Compare(a.costOfSuspect(s, d.zone), b.costOfSuspect(s, d.zone)),
 	)
 }
