Dispatcher: a crash report is bounded

What was seen (by review): a report of a crash with a million runs held a dispatcher up for 7.6 s and left a million tasks remembered.

Cause: the memory of crashes bounded jobs, not the runs of a crash.

Change: the last 1,000 runs of a crash count; a minion has some tens at work. What is left out is logged. TestLargeCrashReportHeldUpADispatcher failed before and takes below 1 ms a report now.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -26,6 +26,10 @@
 	maxCrashMemory = 20_000
 )
 
+// MaxCrashRuns is the number of runs of one crash that count, the last that were started.
+// A minion has some tens of runs at work.
+const MaxCrashRuns = 1000
+
 // Crash is the crash of an incarnation of a minion.
 type Crash struct {
 	// Endpoint and StartedUnixMs name the incarnation and thereby the crash.
@@ -212,6 +216,7 @@
 // them, and gives up the jobs of those that must not start again. It comes before the
 // ends of their runs.
 func (d *Dispatcher) MinionCrashed(now time.Time, c Crash) {
+	c.Runs = c.Runs[max(0, len(c.Runs)-MaxCrashRuns):]
 	for _, name := range d.crashes.count(now, &c) {
 		if d.jobWithRuns(name.Job) != nil {
 			d.out.Crashes = append(d.out.Crashes, CrashCount{TaskID: name, Endpoint: c.Endpoint, Crashes: d.crashes.crashes(name)})
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -110,6 +110,9 @@
 	status := e.report.Room
 	s.reportStamp, s.reportedAt = status.GetStampMs(), boottime.Now()
 	for _, c := range e.report.Crashes {
+		if n := len(c.Runs); n > dispatch.MaxCrashRuns {
+			l.p.opts.Log.Info("crash with too many runs, the first left out", "runner", s.link.name, "endpoint", c.Endpoint, "runs", n)
+		}
 		l.core.MinionCrashed(now, crash(c))
 	}
 	for _, end := range e.report.Ends {
