Dispatcher: a lease that ends at a silent minion counts towards the last limit

What was seen (by review): with minions that crash silently (nobody refuses a connection) and are back after 3.2 s, a deadly task beside which another was started later got 7 starts, 4 of them after the third crash. The callers' bound is two.

Cause: such a crash is known only when the next incarnation answers; until then the runs' leases end every 0.92 s, and each time the task is placed again.

Change: a run that ends with its lease counts, by minion, as a crash that may come to be known: four minions with a crash or an ended lease give a task up. It does not make a suspect. A crash takes the place of the lease at its minion. Three cut minions fail nothing.

TestDeadlyTaskOfSilentMinions failed before; TestCutMinionsFailedAnInnocentTask is new.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -68,6 +68,10 @@
 // jobCrashes are the crashes under the tasks of a job.
 type jobCrashes struct {
 	tasks map[runtable.TaskID][]taskCrash
+	// lapses are the minions at which runs of a task ended with their lease, and of which
+	// no crash is known: a minion that crashes silently is known to have crashed only once
+	// it is back.
+	lapses map[runtable.TaskID][]string
 	// last is when the last one was counted.
 	last time.Time
 	// givenUp is set once the job is given up for them.
@@ -82,14 +86,26 @@
 		return false
 	}
 	j.tasks[name] = append(known, c)
+	j.lapses[name] = slices.DeleteFunc(j.lapses[name], func(endpoint string) bool { return endpoint == c.endpoint })
 	return true
 }
 
+// addLapse counts the end of a lease at a minion, unless it is known to have crashed under
+// the task.
+func (j *jobCrashes) addLapse(name runtable.TaskID, endpoint string) {
+	crashed := func(k taskCrash) bool { return k.endpoint == endpoint }
+	known := slices.ContainsFunc(j.tasks[name], crashed) || slices.Contains(j.lapses[name], endpoint)
+	if !known && len(j.lapses[name]) < maxCrashes {
+		j.lapses[name] = append(j.lapses[name], endpoint)
+	}
+}
+
 // mustGiveUp reports whether a task is given up after crashes of its minions. All but one
 // of the tasks at a crash are innocent, and a job that could be done is of no use as failed.
-func mustGiveUp(crashes []taskCrash) bool {
+func (j *jobCrashes) mustGiveUp(name runtable.TaskID) bool {
+	crashes := j.tasks[name]
 	switch n := len(crashes); {
-	case n >= maxCrashes:
+	case n+len(j.lapses[name]) >= maxCrashes:
 		return true
 	case n >= maxCrashesIfLikely:
 		return slices.ContainsFunc(crashes, func(c taskCrash) bool { return c.wasLast })
@@ -168,7 +184,7 @@
 func (m *crashMemory) of(job string) *jobCrashes {
 	j := m.jobs[job]
 	if j == nil {
-		j = &jobCrashes{tasks: map[runtable.TaskID][]taskCrash{}}
+		j = &jobCrashes{tasks: map[runtable.TaskID][]taskCrash{}, lapses: map[runtable.TaskID][]string{}}
 		m.jobs[job] = j
 	}
 	return j
@@ -233,11 +249,20 @@
 	if open := d.jobs[name.Job]; open != nil && open.isDone(name) {
 		return
 	}
-	if mustGiveUp(d.crashes.under(name)) && !d.crashes.givenUp(name.Job) {
+	if j := d.crashes.jobs[name.Job]; j != nil && j.mustGiveUp(name) && !j.givenUp {
 		d.giveUpForCrashes(now, name.Job)
 	}
 }
 
+// leaseLapsed counts a run that ended with its lease: its minion may have crashed silently.
+// It reports whether the job is given up for it.
+func (d *Dispatcher) leaseLapsed(now time.Time, id RunnerID, name runtable.TaskID) bool {
+	d.crashes.of(name.Job).addLapse(name, d.endpoint(id))
+	d.crashes.touch(now, name.Job)
+	d.giveUpIfDeadly(now, name)
+	return d.crashes.givenUp(name.Job)
+}
+
 // jobWithRuns returns the open or ending job with an ID, or nil.
 func (d *Dispatcher) jobWithRuns(id string) *openJob {
 	if o := d.jobs[id]; o != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -204,6 +204,9 @@
 			t.avoidEndpoint = d.endpoint(id)
 		}
 		o.requeue(step, t)
+		if e.Reason == runtable.ReasonLeaseExpired && d.leaseLapsed(now, id, e.TaskID) {
+			return
+		}
 	}
 	if d.refuseExpired(now, o) {
 		return
--- a/internal/dispatch/silent_crash_test.go
+++ b/internal/dispatch/silent_crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -53,3 +54,34 @@
 		assert.Check(t, after <= 2, "beside another: %v, %d starts, %d of them after the third crash", beside, starts, after)
 	}
 }
+
+// TestCutMinionsFailedAnInnocentTask: leases that end at minions that are only cut off are no reason before the fourth
+// minion, and the crash of a minion counts once, whether its lease or its crash is known first.
+func TestCutMinionsFailedAnInnocentTask(t *testing.T) {
+	cases := []struct {
+		name    string
+		events  string // l: a lease ends at the minion that follows, c: it crashes
+		givenUp bool
+	}{
+		{"three leases", "l1 l2 l3", false},
+		{"four leases", "l1 l2 l3 l4", true},
+		{"leases at one minion", "l1 l1 l1 l1 l1", false},
+		{"crashes after their leases", "l1 c1 l2 c2 l3 c3", false},
+		{"leases after their crashes", "c1 l1 c2 l2 c3 l3", false},
+		{"two crashes and two leases", "c1 c2 l3 l4", true},
+	}
+	for _, c := range cases {
+		m := newCrashMemory()
+		name := runOf("a", 0, 1).TaskID
+		for event := range strings.FieldsSeq(c.events) {
+			kind, endpoint := event[:1], event[1:]
+			if kind == "l" {
+				m.of("a").addLapse(name, endpoint)
+				continue
+			}
+			later := runOf("x", 0, 1) // it speaks more against the one that was started last
+			m.count(ms(0), &Crash{Endpoint: endpoint, StartedUnixMs: 1, Runs: []runtable.RunID{runOf("a", 0, 1), later}})
+		}
+		assert.Check(t, m.of("a").mustGiveUp(name) == c.givenUp, c.name)
+	}
+}
