A stopping process that stood still reads what has arrived before it closes its servers

Cause: a process that gets no processor time for some 0.2 s finds its requests unread when it goes on, and closes listener and idle connections first. Change: before a server is closed, the process runs for 10 ms without a standstill.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -32,6 +32,9 @@
 	// already refuses every request. A refusal takes a millisecond, and callers
 	// notice a delay of 0.2 s.
 	closeTimeout = 80 * time.Millisecond
+	// closePause is how long a server goes on before it is closed. Requests that wait
+	// are read and refused within it.
+	closePause = 10 * time.Millisecond
 	// dispatcherGCPercent is the garbage collection target (GOGC) of a dispatcher,
 	// in percent of its live heap. The live heap is a few megabytes, so fewer
 	// collections are worth the extra memory.
@@ -193,11 +196,24 @@
 	Close() error
 }
 
+// catchUp waits until the process has run for closePause without a standstill. Requests
+// that arrived while it stood still have then been read, and are answered.
+func catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		sleep.For(ctx, closePause)
+		if time.Since(began) < 2*closePause {
+			return
+		}
+	}
+}
+
 // closeServer shuts down a server that has no requests left to answer. Between
 // the close of its listener and the exit of the process, requests on connections
 // that were never accepted get no answer. Connections that are still open after
 // closeTimeout are therefore closed at once.
 func closeServer(ctx context.Context, server httpServer, log logr.Logger) {
+	catchUp(ctx)
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err == nil {
