--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -67,6 +67,7 @@
 		x.g.StartTask(x.now, testSession, &wirepb.StartTask{
 			Job: job, Task: task, Attempt: 1, Group: testEntry, Epoch: 1, Incarnation: 9,
 		})
+		x.g.Settle(x.now)
 		if end {
 			x.g.HandleRequestEnd(x.now, RequestEnd{Key: Key{job, task}, Result: result})
 		}
