Known failure: a refusal says not run while another entry's accept is on its way

What callers saw: a caller that gave up on one entry and was refused by another as "not run" may find that its tasks ran, once. Who takes the refusal at its word and orders under another ID has the work done twice.

Cause: the refusing entry asks control whether it knows the submission. Control answers from what is committed; an accept that is still under way (slow link, retried after an outage, or only not yet durable) is not.

Change: none yet. It needs a record at control that rejects accepts begun before the refusal; the way is in docs/design/entry.md.

--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -295,3 +295,19 @@
 	t.Cleanup(stop)
 	return ctx
 }
+
+// delayedControl holds accept requests back until release is closed, like a slow link
+// to control.
+type delayedControl struct {
+	controlclient.Control
+	release chan struct{}
+}
+
+func (c *delayedControl) Accept(ctx context.Context, r *wirepb.AcceptRequest) (*wirepb.AcceptResponse, error) {
+	select {
+	case <-c.release:
+	case <-ctx.Done():
+		return nil, controlclient.ErrUnknownOutcome
+	}
+	return c.Control.Accept(ctx, r)
+}
