Tests: how often a task that crashes its minion is started on the stored path

The caller is told task_failed with the detail minion_lost, and never "not run". Tasks that ran beside it fail the same way; one that waited runs.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -239,3 +239,29 @@
 	_, _ = w.Write([]byte("half"))
 	panic(http.ErrAbortHandler)
 }
+
+// TestMinionThatIsBackAtOnceStartsNoTaskTwice lets one task crash the minion, which is
+// back within milliseconds. The tasks that ran there have failed, those that waited run,
+// and nobody starts a task again that has failed.
+func TestMinionThatIsBackAtOnceStartsNoTaskTwice(t *testing.T) {
+	f := newFixture(t, 3)
+	f.start(1, 1, `{"sleep_ms":60000}`)
+	f.start(2, 1, `{"sleep_ms":60000}`)
+	f.waitUntil("two tasks run", func() bool { return f.minion.RunningTasks() == 2 })
+	f.start(3, 1, `{"sleep_ms":20,"crash_ms":1}`)
+	f.start(4, 1, "waits")
+	outcomes := map[uint32]string{}
+	for len(outcomes) < 4 {
+		switch u := f.awaitUpdate(); {
+		case u.Outcome == notRun:
+			f.start(u.Task, u.Attempt+1, "waits")
+		case u.Outcome == failed || u.Outcome == done:
+			outcomes[u.Task] = fmt.Sprint(u.Outcome, " ", u.Reason)
+		}
+	}
+	lost := fmt.Sprint(failed, " minion_lost")
+	assert.DeepEqual(t, outcomes, map[uint32]string{1: lost, 2: lost, 3: lost, 4: fmt.Sprint(done, " ")})
+	f.start(3, 2, `{"sleep_ms":20,"crash_ms":1}`)
+	f.wantUpdate(3, failed, "minion_lost")
+	assert.DeepEqual(t, f.countEvents(fakeminion.EventStart), map[uint32]int{1: 1, 2: 1, 3: 1, 4: 1})
+}
