A submission is remembered for at least as long as a task of its job may run

With a shorter control.remember, which the settings allowed down to control.retention, a job could fail while a task of it went on at an agent that nobody reached; after the submission was forgotten, the same submission was a new job, and the task ran a second time beside the first.

Cause: the time that submissions are kept was compared with the time of answers only. A task may run until its job's time limit, which is up to an hour.

Evidence: TestEveryFindingWithItsPlace/submissions_forgotten_while_a_task_may_run, which failed before: 59 minutes were taken.

Change: control.remember must be at least 1h.

It fails if the time is not looked at.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -148,6 +148,10 @@
 	}
 }
 
+// minRemember is the longest time limit of a job. A submission that is forgotten earlier
+// could be accepted again while a task of its first job still runs.
+const minRemember = time.Hour
+
 func checkControl(c *Control, add findingFunc) {
 	if c.ID == 0 {
 		add("control.id", "is required and must not be 0")
@@ -160,6 +164,9 @@
 	if c.Remember < c.Retention {
 		add("control.remember", "must not be shorter than control.retention")
 	}
+	if c.Remember.D() < minRemember {
+		add("control.remember", "must be at least 1h: a task of an ended job may run until the job's time limit")
+	}
 	if c.Lease.D() < 2*time.Second {
 		add("control.lease", "must be at least 2s, twice the hold time of a sync request")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -42,6 +42,7 @@
 		{"role", "[control, entry]", "[control, entri]", `f:4:18: roles[1]: "entri" is not one of`},
 		{"host name", `["127.0.0.1:1"]`, `["there:1"]`, "f:5:21: control_addresses[0]: must name its host by IP number"},
 		{"duplicate key", "name: n\n", "name: n\nname: m\n", `f:3:1: mapping key "name" already defined at [2:1]`},
+		{"submissions forgotten while a task may run", "lease: 6s", "lease: 6s\n  retention: 1m\n  remember: 59m", "control.remember: must be at least 1h"},
 		{"open network", "id: 1\n", "id: 1\n  listen: 0.0.0.0:1\n", "f:8:3: control.listen: must be a loopback address"},
 		{"no keys", "tls: {insecure_loopback: true}", "", "f:1:1: tls: cert, key and ca are needed"},
 	}
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -38,6 +38,8 @@
 	firstResponses map[string]*wirepb.ApplyResponse
 	// endIndexes are the log indexes at which instances ended.
 	endIndexes map[uint64]uint64
+	// endTimes are the times of the ends of jobs, in Unix milliseconds.
+	endTimes map[uint64]int64
 }
 
 type follower struct {
@@ -52,7 +54,7 @@
 		jobs: map[string]uint64{}, open: map[uint64]uint64{}, groups: map[uint64]*wirepb.Group{},
 		followers: []*follower{{}, {agent: true}},
 		revisions: map[string]uint64{}, firstResponses: map[string]*wirepb.ApplyResponse{},
-		endIndexes: map[uint64]uint64{},
+		endIndexes: map[uint64]uint64{}, endTimes: map[uint64]int64{},
 	}
 }
 
@@ -69,6 +71,7 @@
 	assert.Equal(t, describe(r), describe(same))
 	for _, job := range r.EndedJobs {
 		delete(m.open, job)
+		m.endTimes[job] = m.continuous.clock
 	}
 	return r
 }
@@ -185,9 +188,24 @@
 
 func (m *model) expire(t *rapid.T) {
 	before := m.now - rapid.Int64Range(0, 30).Draw(t, "age")
+	forget := before - rapid.Int64Range(0, 30).Draw(t, "later")
 	m.apply(t, &wirepb.Command{Body: &wirepb.Command_ExpireJobs{ExpireJobs: &wirepb.ExpireJobs{
-		EndedBeforeUnixMs: before, Limit: uint32(rapid.IntRange(0, 3).Draw(t, "limit")),
+		EndedBeforeUnixMs: before, ForgetBeforeUnixMs: forget, Limit: uint32(rapid.IntRange(0, 3).Draw(t, "limit")),
 	}}})
+	m.removeForgotten(t, forget)
+}
+
+// removeForgotten removes the submissions that the ledger no longer knows. Only those
+// of jobs that ended before the given time may be among them.
+func (m *model) removeForgotten(t *rapid.T, before int64) {
+	for submission, job := range m.jobs {
+		if m.continuous.JobBySubmission("t", submission) != nil {
+			continue
+		}
+		ended, ok := m.endTimes[job]
+		assert.Assert(t, ok && ended < before, "job %d was forgotten, which ended at %d, before %d: %v", job, ended, before, ok)
+		delete(m.jobs, submission)
+	}
 }
 
 // restart replaces the restored ledger by its own decoded snapshot.
