--- a/internal/dispatch/review_test.go
+++ b/internal/dispatch/review_test.go
@@ -47,12 +47,10 @@
 		if len(out.Placements) == 0 {
 			break
 		}
-		var runs []runtable.RunID
 		for _, p := range out.Placements {
 			for _, r := range p.Runs {
 				if r.Index == 0 {
 					starts++
-					runs = append(runs, r)
 					d.MinionCrashed(ms(int(1000+born)), Crash{Endpoint: "m", StartedUnixMs: born, Runs: []runtable.RunID{r}})
 				}
 			}
--- a/internal/dispatch/silent_crash_test.go
+++ b/internal/dispatch/silent_crash_test.go
@@ -19,8 +19,7 @@
 		d.Submit(ms(0), namedJob("deadly", 1))
 		at := map[int][]func(){}
 		starts, third, after := 0, -1, 0
-		var take func(now int)
-		take = func(now int) {
+		take := func(now int) {
 			for _, p := range d.TakeOutput().Placements {
 				starts++
 				k, runner, run := starts, p.Runner, p.Runs[0]
