A task is not given up for a crash that came before its start was answered

Cause: the start of its first run had no answer when the minion crashed, and had not begun there; it counted like the second.

Change: a crash says of each run whether it had begun (its start was answered, or a list had it). The limits of two and of three crashes count those only. The limit of four counts all, since a task that crashes its minion before the answer looks the same: it is started once after the third crash.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -34,6 +34,8 @@
 	// Runs are the runs that were or may have been at work, in the order of their starts.
 	// All but one may be innocent.
 	Runs []runtable.RunID
+	// MayNotHaveBegun are those of the runs of which no answer or list has come.
+	MayNotHaveBegun map[runtable.RunID]bool
 }
 
 // CrashCount says how many minions have crashed under a task of a job that is here.
@@ -59,6 +61,8 @@
 	wasLast bool
 	// wasOnlySuspect reports whether no minion had crashed under another job that ran there.
 	wasOnlySuspect bool
+	// begun reports whether the run was certainly at work.
+	begun bool
 }
 
 // jobCrashes are the crashes under the tasks of a job.
@@ -83,14 +87,23 @@
 
 // mustGiveUp reports whether a task is given up after crashes of its minions. All but one
 // of the tasks at a crash are innocent, and a job that could be done is of no use as failed.
+// A run that may not have begun counts for maxCrashes only: a task that crashes its minion
+// before the start is answered looks like one whose start was lost with the minion.
 func mustGiveUp(crashes []taskCrash) bool {
-	switch n := len(crashes); {
-	case n >= maxCrashes:
+	if len(crashes) >= maxCrashes {
 		return true
+	}
+	var proven []taskCrash
+	for _, c := range crashes {
+		if c.begun {
+			proven = append(proven, c)
+		}
+	}
+	switch n := len(proven); {
 	case n >= maxCrashesIfLikely:
-		return slices.ContainsFunc(crashes, func(c taskCrash) bool { return c.wasLast })
+		return slices.ContainsFunc(proven, func(c taskCrash) bool { return c.wasLast })
 	case n >= maxCrashesIfToBlame:
-		return isToBlame(crashes)
+		return isToBlame(proven)
 	default:
 		return false
 	}
@@ -130,7 +143,7 @@
 	suspects := m.suspectsAt(c)
 	var counted []runtable.TaskID
 	for _, run := range c.Runs {
-		crash := taskCrash{crashID: c.id(), wasLast: run.Job == c.lastJob(), wasOnlySuspect: len(suspects) == 1 && suspects[run.Job]}
+		crash := taskCrash{crashID: c.id(), wasLast: run.Job == c.lastJob(), wasOnlySuspect: len(suspects) == 1 && suspects[run.Job], begun: !c.MayNotHaveBegun[run]}
 		if m.of(run.Job).add(run.TaskID, crash) {
 			counted = append(counted, run.TaskID)
 			m.touch(now, run.Job)
