--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -26,6 +26,10 @@
 	maxCrashMemory = 20_000
 )
 
+// MaxCrashRuns is the number of runs of one crash that count, the last that were started.
+// A minion has some tens of runs at work.
+const MaxCrashRuns = 1000
+
 // Crash is the crash of an incarnation of a minion.
 type Crash struct {
 	// Endpoint and StartedUnixMs name the incarnation and thereby the crash.
@@ -68,6 +72,10 @@
 // jobCrashes are the crashes under the tasks of a job.
 type jobCrashes struct {
 	tasks map[runtable.TaskID][]taskCrash
+	// lapses are the minions at which runs of a task ended with their lease, and of which
+	// no crash is known: a minion that crashes silently is known to have crashed only once
+	// it is back.
+	lapses map[runtable.TaskID][]string
 	// last is when the last one was counted.
 	last time.Time
 	// givenUp is set once the job is given up for them.
@@ -82,33 +90,43 @@
 		return false
 	}
 	j.tasks[name] = append(known, c)
+	j.lapses[name] = slices.DeleteFunc(j.lapses[name], func(endpoint string) bool { return endpoint == c.endpoint })
 	return true
 }
 
+// addLapse counts the end of a lease at a minion, unless it is known to have crashed under
+// the task.
+func (j *jobCrashes) addLapse(name runtable.TaskID, endpoint string) {
+	crashed := func(k taskCrash) bool { return k.endpoint == endpoint }
+	known := slices.ContainsFunc(j.tasks[name], crashed) || slices.Contains(j.lapses[name], endpoint)
+	if !known && len(j.lapses[name]) < maxCrashes {
+		j.lapses[name] = append(j.lapses[name], endpoint)
+	}
+}
+
 // mustGiveUp reports whether a task is given up after crashes of its minions. All but one
 // of the tasks at a crash are innocent, and a job that could be done is of no use as failed.
 // A run that may not have begun counts for maxCrashes only: a task that crashes its minion
 // before the start is answered looks like one whose start was lost with the minion.
-func mustGiveUp(crashes []taskCrash) bool {
-	if len(crashes) >= maxCrashes {
+func (j *jobCrashes) mustGiveUp(name runtable.TaskID) bool {
+	n, begun := len(j.tasks[name]), begunOnly(j.tasks[name])
+	switch {
+	case n+len(j.lapses[name]) >= maxCrashes:
 		return true
-	}
-	var proven []taskCrash
-	for _, c := range crashes {
-		if c.begun {
-			proven = append(proven, c)
-		}
-	}
-	switch n := len(proven); {
-	case n >= maxCrashesIfLikely:
-		return slices.ContainsFunc(proven, func(c taskCrash) bool { return c.wasLast })
-	case n >= maxCrashesIfToBlame:
-		return isToBlame(proven)
+	case len(begun) >= maxCrashesIfLikely:
+		return slices.ContainsFunc(begun, func(c taskCrash) bool { return c.wasLast })
+	case len(begun) >= maxCrashesIfToBlame:
+		return isToBlame(begun)
 	default:
 		return false
 	}
 }
 
+// begunOnly returns the crashes of runs that were certainly at work.
+func begunOnly(crashes []taskCrash) []taskCrash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c taskCrash) bool { return !c.begun })
+}
+
 // isToBlame reports whether a task alone is to blame: it was the last at each crash, or the
 // last and the only suspect at one.
 func isToBlame(crashes []taskCrash) bool {
@@ -177,7 +195,7 @@
 func (m *crashMemory) of(job string) *jobCrashes {
 	j := m.jobs[job]
 	if j == nil {
-		j = &jobCrashes{tasks: map[runtable.TaskID][]taskCrash{}}
+		j = &jobCrashes{tasks: map[runtable.TaskID][]taskCrash{}, lapses: map[runtable.TaskID][]string{}}
 		m.jobs[job] = j
 	}
 	return j
@@ -225,16 +243,35 @@
 // them, and gives up the jobs of those that must not start again. It comes before the
 // ends of their runs.
 func (d *Dispatcher) MinionCrashed(now time.Time, c Crash) {
-	counted := d.crashes.count(now, &c)
-	for _, name := range counted {
-		o := d.jobWithRuns(name.Job)
-		if o != nil {
+	c.Runs = c.Runs[max(0, len(c.Runs)-MaxCrashRuns):]
+	for _, name := range d.crashes.count(now, &c) {
+		if d.jobWithRuns(name.Job) != nil {
 			d.out.Crashes = append(d.out.Crashes, CrashCount{TaskID: name, Endpoint: c.Endpoint, Crashes: d.crashes.crashes(name)})
 		}
-		if mustGiveUp(d.crashes.under(name)) && (o == nil || !o.isDone(name)) {
-			d.giveUpForCrashes(now, name.Job)
-		}
 	}
+	for _, run := range c.Runs {
+		d.giveUpIfDeadly(now, run.TaskID)
+	}
+}
+
+// giveUpIfDeadly gives up the job of a task that must not start again, unless the task is
+// done. In an ending job a task counts as done once its run has ended in any way.
+func (d *Dispatcher) giveUpIfDeadly(now time.Time, name runtable.TaskID) {
+	if open := d.jobs[name.Job]; open != nil && open.isDone(name) {
+		return
+	}
+	if j := d.crashes.jobs[name.Job]; j != nil && j.mustGiveUp(name) && !j.givenUp {
+		d.giveUpForCrashes(now, name.Job)
+	}
+}
+
+// leaseLapsed counts a run that ended with its lease: its minion may have crashed silently.
+// It reports whether the job is given up for it.
+func (d *Dispatcher) leaseLapsed(now time.Time, id RunnerID, name runtable.TaskID) bool {
+	d.crashes.of(name.Job).addLapse(name, d.endpoint(id))
+	d.crashes.touch(now, name.Job)
+	d.giveUpIfDeadly(now, name)
+	return d.crashes.givenUp(name.Job)
 }
 
 // jobWithRuns returns the open or ending job with an ID, or nil.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -157,6 +157,7 @@
 	l.crash = crashEvidence{}
 	l.incarnation = incarnation{Report: r, number: l.incarnation.number + 1}
 	l.longPolls, l.immediatePollActive = 0, false
+	l.lastList = listTimes{}
 	l.lease.reset()
 	l.lease.recordClock(now, clock)
 	if l.table.Running() > 0 {
