A job sent to a second dispatcher waits for its runs at the first

What callers saw: a task ran twice at once. A caller's connection broke behind a relay that lost the end, so its dispatcher went on. The caller sent the job to another dispatcher 1.3 s later, and both ran it until a runner that both chose told the first.

Cause: no dispatcher knew what the others had open before it started a job.

TestJobSentToAnotherDispatcherRanTwice fails without the wait.

Change: dispatchers share the ids of jobs older than 0.5 s, and of those that wait for another dispatcher, through the control members. A dispatcher holds back a job that another one shares; that one gives it up, and the job starts when the runs there have ended. Young jobs cost no message and no time. Members need no leader for it; with no member at hand dispatchers go on as before. Decisions are pure (internal/resubmission, internal/dispatch/elsewhere.go). Ways weighed, sizes and limits: docs/design/resubmission.md. Whole lists fit tens of dispatchers, not hundreds.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -70,6 +70,7 @@
 }
 
 func (s sessionEnded) handle(l *loop) {
+	l.sharedJobs.drop(s.session)
 	d := &l.directory
 	gone := d.subscribers[s.session]
 	if gone == nil {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -46,6 +46,7 @@
 	snapshots        snapshotSchedule
 	receivedSnapshot *snapshotReceived
 	directory        directory
+	sharedJobs       sharedJobs
 	minions          minionRecords
 	memberActivity   memberActivity
 
@@ -77,6 +78,7 @@
 	l.waits.init()
 	l.disks.init(p.opts.ID, p.id.Disk)
 	l.directory.init()
+	l.sharedJobs.init()
 	l.minions.load(p)
 	l.memberActivity.init()
 	l.snapshots.lastIndex = applied
@@ -112,6 +114,7 @@
 		}
 		l.flush()
 		l.directory.publish(l, time.Now())
+		l.sharedJobs.publish(l, time.Now())
 	}
 	l.failLeaderRequests(reasonStopping)
 	return l.failure
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -61,6 +61,10 @@
 		p.enqueue(processAnnounced{s, a})
 		return
 	}
+	if jobs := e.GetSharedJobs(); jobs != nil {
+		p.enqueue(jobsShared{s, jobs})
+		return
+	}
 	from := caller{session: s, call: e.Call, lane: laneOf(e)}
 	if chunk := e.GetSnapshotChunk(); chunk != nil && fromMember {
 		p.snapshotTransfers.receive(from, chunk)
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -35,7 +35,9 @@
 	// OnLastMinion, if not nil, is called with the minion that a member remembers
 	// of this process.
 	OnLastMinion func(*wirepb.MinionRecord)
-	Log          logr.Logger
+	// SharedJobs, if not nil, gets the messages about shared jobs.
+	SharedJobs SharedJobsHandler
+	Log        logr.Logger
 }
 
 // View is the union of what the connected control members report.
--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -127,6 +127,7 @@
 			c.handleUpdate(m, update)
 		}
 	}
+	c.handleSharedJobs(&opts)
 	s, err := wire.Dial(c.ctx, m.address, opts)
 	if err != nil {
 		return
@@ -135,6 +136,7 @@
 	c.opts.Log.Info("control member connected", "address", m.address)
 	c.setConnected(m, s)
 	c.sendAnnounce(s)
+	c.memberConnected(s)
 	select {
 	case <-s.Done():
 	case <-c.ctx.Done():
--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -18,8 +18,15 @@
 	}
 }
 
-// hasRunsLeft reports whether a run of the job may be at work.
+// hasRunsLeft reports whether a run of the job may be at work, here or at another
+// dispatcher.
 func (o *openJob) hasRunsLeft() bool {
+	waitsElsewhere := o.next != nil && o.runsElsewhere
+	return waitsElsewhere || o.hasOwnRunsLeft()
+}
+
+// hasOwnRunsLeft reports whether a run that this dispatcher placed may be at work.
+func (o *openJob) hasOwnRunsLeft() bool {
 	for _, tasks := range o.tasks {
 		for i := range tasks {
 			if s := tasks[i].state; s == placed || s == asked || s == unresolved {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -74,6 +74,8 @@
 	// next is a later submission of the job, which waits until no run of this one is
 	// left; nil if there is none.
 	next *Job
+	// runsElsewhere is set while next waits for runs of another dispatcher.
+	runsElsewhere bool
 }
 
 // mayHaveRun reports whether a task has run or may have run.
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -29,7 +29,7 @@
 		return
 	}
 	l.callers[e.job.ID] = e.answer
-	l.core.Submit(now, e.job)
+	l.submit(now, e.job)
 }
 
 // callerLeft is sent when the caller of a job stopped waiting.
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -33,6 +33,8 @@
 	// lastSurplusCheck is when sessions were last checked for surplus runners.
 	lastSurplusCheck time.Time
 
+	shared sharedJobs
+
 	metrics loopMetrics
 }
 
@@ -82,6 +84,7 @@
 		core:     dispatch.New(p.opts.Zone),
 		callers:  map[string]chan<- dispatch.Answer{},
 		sessions: map[*wire.Session]*session{},
+		shared:   newSharedJobs(),
 		byID:     map[dispatch.RunnerID]*session{},
 		lastTick: boottime.Now(),
 		// A new process has no backlog.
@@ -145,6 +148,7 @@
 	l.lastTick = boottime.Now()
 	now := time.Now()
 	l.core.Tick(now)
+	l.shareJobs(now)
 	l.checkSurplus(now)
 	l.metrics.openJobs.Update(float64(l.core.Jobs()))
 	l.metrics.waitingJobs.Update(float64(l.core.WaitingJobs()))
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -45,11 +45,12 @@
 	p := newProcess(opts, startWindow)
 	go p.loop.run()
 	p.directory = directory.Start(directory.Options{
-		Seeds:    opts.Seeds,
-		Wire:     wire.Options{Hello: p.opts.hello, Scope: p.opts.Scope, Log: opts.Log},
-		Announce: p.announce,
-		OnChange: p.directoryChanged,
-		Log:      opts.Log,
+		Seeds:      opts.Seeds,
+		Wire:       wire.Options{Hello: p.opts.hello, Scope: p.opts.Scope, Log: opts.Log},
+		Announce:   p.announce,
+		OnChange:   p.directoryChanged,
+		SharedJobs: sharedJobsEvents{p},
+		Log:        opts.Log,
 	})
 	opts.Log.Info("dispatcher started")
 	return p
