Names: degraded minions, crash retention, crashes under tasks

'Suspect' stood for a task under which a minion crashed and for a minion that fails or is slow; the latter is degraded now. The time for which a runner retells crashes had the name of the dispatcher's memory. No logic changes.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -63,7 +63,7 @@
 	var best *runner
 	var least float64
 	for _, r := range d.sortedRunners {
-		if r.taskWaits() || r.suspect() || t.avoids(r) || !d.mayRunAt(now, o, step, r) {
+		if r.taskWaits() || r.degraded() || t.avoids(r) || !d.mayRunAt(now, o, step, r) {
 			continue
 		}
 		lacking := float64(o.Steps[step].Need.CPU-r.Free.CPU) / float64(max(r.Capacity.CPU, 1))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -150,7 +150,7 @@
 	if o.firstPlacedAt.IsZero() {
 		o.firstPlacedAt = now
 	}
-	if r.suspect() {
+	if r.degraded() {
 		r.lastProbe = now
 	}
 	r.addTask(o.Steps[step].Need)
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// suspectFailureRate is the FailureRate from which a minion gets one task at
+	// degradedFailureRate is the FailureRate from which a minion gets one task at
 	// a time.
-	suspectFailureRate = 0.5
-	// suspectRuntimeRatio is the RuntimeRatio from which a minion gets one task at
+	degradedFailureRate = 0.5
+	// degradedRuntimeRatio is the RuntimeRatio from which a minion gets one task at
 	// a time. Objectives stretch run times by less.
-	suspectRuntimeRatio = 2.5
-	// minProbeInterval is the shortest time between two tasks for a suspect
+	degradedRuntimeRatio = 2.5
+	// minProbeInterval is the shortest time between two tasks for a degraded
 	// minion.
 	minProbeInterval = 500 * time.Millisecond
 	// crossZoneCost is the cost of a minion in another availability zone: two
@@ -48,7 +48,7 @@
 	// outstanding is the number of tasks of this dispatcher at the runner whose
 	// ends are not reported.
 	outstanding int
-	// lastProbe is when the runner last got a task while it was suspect.
+	// lastProbe is when the runner last got a task while it was degraded.
 	lastProbe time.Time
 	// retiring excludes the runner from new tasks of this dispatcher.
 	retiring bool
@@ -119,10 +119,10 @@
 	return time.Duration(max(0, spareTasks-spare) * float64(lowSpareCost))
 }
 
-// suspect reports whether the minion fails most of its tasks or runs them far
+// degraded reports whether the minion fails most of its tasks or runs them far
 // too slowly.
-func (r *runner) suspect() bool {
-	return r.FailureRate >= suspectFailureRate || r.RuntimeRatio >= suspectRuntimeRatio
+func (r *runner) degraded() bool {
+	return r.FailureRate >= degradedFailureRate || r.RuntimeRatio >= degradedRuntimeRatio
 }
 
 // available reports whether the runner may get a task now.
@@ -130,7 +130,7 @@
 	if !r.acceptsTasks() {
 		return false
 	}
-	if !r.suspect() {
+	if !r.degraded() {
 		return true
 	}
 	return r.outstanding == 0 && now.Sub(r.lastProbe) >= minProbeInterval
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -94,7 +94,7 @@
 		metrics: loopMetrics{
 			scope:       p.opts.Scope,
 			tasksPlaced: p.opts.Scope.Counter("tasks_placed"),
-			crashes:     p.opts.Scope.Counter("tasks_crashed"),
+			crashes:     p.opts.Scope.Counter("crashes_under_tasks"),
 			jobDuration: jobDuration,
 			openJobs:    p.opts.Scope.Gauge("jobs_open"),
 			waitingJobs: p.opts.Scope.Gauge("jobs_waiting"),
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// crashMemory is how long dispatchers that connect are told of a crash. It outlasts
+	// crashRetention is how long dispatchers that connect are told of a crash. It outlasts
 	// the time that callers go on sending a job.
-	crashMemory = time.Minute
+	crashRetention = time.Minute
 	// maxRememberedCrashes bounds these crashes. A minion that is back after some seconds
-	// crashes less often within crashMemory.
+	// crashes less often within crashRetention.
 	maxRememberedCrashes = 32
 )
 
@@ -121,7 +121,7 @@
 // may get the job of another one, and its earlier session may have ended before their
 // reports arrived.
 func (l *loop) rememberedCrashes(now time.Time) []*wirepb.MinionCrash {
-	l.crashes = slices.DeleteFunc(l.crashes, func(c rememberedCrash) bool { return now.Sub(c.at) > crashMemory })
+	l.crashes = slices.DeleteFunc(l.crashes, func(c rememberedCrash) bool { return now.Sub(c.at) > crashRetention })
 	var messages []*wirepb.MinionCrash
 	for _, c := range l.crashes {
 		messages = append(messages, c.message)
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -266,7 +266,7 @@
 	told := l.rememberedCrashes(now)
 	assert.Equal(t, len(told), maxRememberedCrashes)
 	assert.Equal(t, told[0].StartedUnixMs, int64(1))
-	told = l.rememberedCrashes(now.Add(crashMemory + 2*time.Second + 1))
+	told = l.rememberedCrashes(now.Add(crashRetention + 2*time.Second + 1))
 	assert.Equal(t, told[0].StartedUnixMs, int64(3))
 }
 
