--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -284,6 +284,7 @@
 		f.place("deadly")
 		f.tickFor(2 * callTimeout)
 		f.place("innocent")
+		f.place("refused")
 		held := f.minion.starts[len(f.minion.starts)-1]
 		held.answer <- Answer{Status: OtherIncarnation, Clock: 1}
 		f.step()
