Revert: a task that was sent to a silent minion is not blamed for its crash

It is not enough: the first start that a silent minion gets counts still, as nothing was found unanswered before it.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -119,7 +119,6 @@
 		l.table.StartAnswered(now, a.call.RunID, startFailure(a.err))
 		return
 	}
-	l.crash.answered(a.answer.Status)
 	l.checkFence(a.answer.Status, a.call.Fence)
 	if a.answer.Status != Accepted {
 		l.p.opts.Log.Info("start refused", "job", a.call.RunID.Job, "task", a.call.RunID.Index, "run", a.call.RunID.Run,
@@ -168,7 +167,6 @@
 		l.unanswered(now, "stop", a.call.RunID, a.err)
 		return // the table sends the stop again
 	}
-	l.crash.answered(a.answer.Status)
 	l.checkFence(a.answer.Status, a.call.Fence)
 	if a.answer.Status == Accepted {
 		l.table.StopAnswered(now, a.call.RunID)
@@ -178,7 +176,6 @@
 func (l *loop) unanswered(now time.Time, what string, ref runtable.RunID, err error) {
 	l.mayHaveRestarted = true
 	l.lastUnanswered = now
-	l.crash.unanswered(now)
 	l.metrics.unanswered.Inc(1)
 	l.p.opts.Log.Info("minion did not answer", "call", what, "job", ref.Job, "task", ref.Index, "run", ref.Run, "error", err.Error())
 }
@@ -216,7 +213,6 @@
 	if a.err != nil {
 		l.metrics.unanswered.Inc(1)
 		l.lastUnanswered = now
-		l.crash.unanswered(now)
 		l.lastPollError = a.err.Error()
 		return
 	}
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -24,9 +24,6 @@
 type crashEvidence struct {
 	// refused reports whether nobody listened at the last poll.
 	refused bool
-	// silentSince is when a call was first found unanswered since the last answer; zero
-	// if the last call was answered.
-	silentSince time.Time
 	// lapsed are the runs that the end of the lease has ended since the last list.
 	lapsed []runtable.RunID
 	// reported is set once the crash was reported.
@@ -36,25 +33,8 @@
 // pollEnded notes whether the minion could be reached.
 func (c *crashEvidence) pollEnded(err error) { c.refused = nobodyListens(err) }
 
-// unanswered notes a call that ended without an answer.
-func (c *crashEvidence) unanswered(now time.Time) {
-	if c.silentSince.IsZero() {
-		c.silentSince = now
-	}
-}
-
-// answered notes an answer. Any other than an acceptance may come from a later incarnation.
-func (c *crashEvidence) answered(status CallStatus) {
-	if status == Accepted {
-		c.silentSince = time.Time{}
-	}
-}
-
 // listed notes a list of the present incarnation: it has not crashed.
-func (c *crashEvidence) listed() {
-	c.lapsed = nil
-	c.answered(Accepted)
-}
+func (c *crashEvidence) listed() { c.lapsed = nil }
 
 // nobodyListens reports whether a call did not reach the minion because no process
 // listens at its address.
@@ -74,7 +54,7 @@
 // leaseOver handles the end of the lease of runs at the present incarnation. With nobody
 // listening, the incarnation has crashed. A silent one may only have been cut off.
 func (l *loop) leaseOver(now time.Time) {
-	l.crash.lapsed = append(l.crash.lapsed, l.table.ReceivedRuns(l.crash.silentSince)...)
+	l.crash.lapsed = append(l.crash.lapsed, l.table.ReceivedRuns()...)
 	if l.crash.refused {
 		l.recordCrash(now, "nobody_listens")
 	}
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -275,35 +275,3 @@
 	assert.Equal(t, startFailure(fmt.Errorf("call: %w", errRefused)), runtable.NotReceived)
 	assert.Equal(t, startFailure(errNoReply), runtable.Unanswered)
 }
-
-// TestTaskSentInSilenceWasBlamed: the minion has crashed silently under "deadly", and "innocent" is sent to nobody. An
-// answer of a later incarnation at its address is no sign of life.
-func TestTaskSentInSilenceWasBlamed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newCrashFixture(t)
-		f.place("deadly")
-		f.tickFor(2 * callTimeout)
-		f.place("innocent")
-		f.place("refused")
-		held := f.minion.starts[len(f.minion.starts)-1]
-		held.answer <- Answer{Status: OtherIncarnation, Clock: 1}
-		f.step()
-		f.successor("i-2", 20)
-		crashes := f.takeCrashes()
-		assert.Equal(t, len(crashes), 1)
-		assert.DeepEqual(t, jobsOf(crashes[0]), []string{"deadly/1"})
-	})
-}
-
-// TestTaskSentBeforeAnAnswerWasNotCounted: a call without an answer, then one with: the minion still received starts.
-func TestTaskSentBeforeAnAnswerWasNotCounted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newCrashFixture(t)
-		f.place("first")
-		f.tickFor(callTimeout)
-		f.start("second")
-		f.place("third")
-		f.successor("i-2", 20)
-		assert.DeepEqual(t, jobsOf(f.takeCrashes()[0]), []string{"first/1", "second/1", "third/1"})
-	})
-}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -152,7 +152,7 @@
 	l.p.opts.Log.Info("minion began", "endpoint", r.Endpoint, "born", r.StartedUnixMs, "service", r.Service,
 		"cpu", r.Capacity.CPU, "labels", r.Labels, "draining", r.Draining,
 		"before", l.incarnation.Endpoint, "before_born", l.incarnation.StartedUnixMs, "runs", l.table.Running())
-	l.crash.lapsed = append(l.crash.lapsed, l.table.ReceivedRuns(l.crash.silentSince)...)
+	l.crash.lapsed = append(l.crash.lapsed, l.table.ReceivedRuns()...)
 	l.recordCrash(now, "later_incarnation")
 	l.crash = crashEvidence{}
 	l.incarnation = incarnation{Report: r, number: l.incarnation.number + 1}
--- a/internal/runtable/received.go
+++ b/internal/runtable/received.go
@@ -1,17 +1,12 @@
 package runtable
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // ReceivedRuns returns the runs that the present incarnation of the minion has or may
 // have received and whose ends are not known, in the order of their first starts. If it
-// crashes, one of them may be the cause. silentSince is from when it has answered nothing;
-// zero if it answers. A run that was first started after that is left out: most likely
-// nobody was there to receive it.
-func (t *Table) ReceivedRuns(silentSince time.Time) []RunID {
-	received := slices.DeleteFunc(t.sortedRuns(), func(r *run) bool { return !r.mayBeReceived(silentSince) })
+// crashes, one of them may be the cause.
+func (t *Table) ReceivedRuns() []RunID {
+	received := slices.DeleteFunc(t.sortedRuns(), func(r *run) bool { return !r.mayBeReceived() })
 	slices.SortStableFunc(received, func(a, b *run) int { return a.startSentAt.Compare(b.startSentAt) })
 	ids := make([]RunID, len(received))
 	for i, r := range received {
@@ -22,7 +17,4 @@
 
 // mayBeReceived reports whether a start of the run has or may have reached the present
 // incarnation of the minion.
-func (r *run) mayBeReceived(silentSince time.Time) bool {
-	startedInSilence := !silentSince.IsZero() && r.startSentAt.After(silentSince)
-	return r.startAttempts > r.startsMissed && !startedInSilence
-}
+func (r *run) mayBeReceived() bool { return r.startAttempts > r.startsMissed }
--- a/internal/runtable/received_test.go
+++ b/internal/runtable/received_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -22,10 +21,10 @@
 	waits := order("d", 0, 9000)
 	tab.Place(at(32), waits)
 	tab.TakeOutput()
-	assert.DeepEqual(t, tab.ReceivedRuns(time.Time{}), []RunID{ref(first), ref(second)}) // by their starts
+	assert.DeepEqual(t, tab.ReceivedRuns(), []RunID{ref(first), ref(second)}) // by their starts
 	assert.Equal(t, len(tab.TakeOutput().Ends), 0, "a run that was not received has not ended without its proof")
 	tab.LeaseExpired(at(2000))
-	assert.Equal(t, len(tab.ReceivedRuns(time.Time{})), 0)
+	assert.Equal(t, len(tab.ReceivedRuns()), 0)
 }
 
 // TestStartThatOneAttemptMayHaveDelivered: the first attempt crashed the minion before its
@@ -37,7 +36,7 @@
 	tab.StartAnswered(at(11), ref(o), Unanswered)
 	tab.TakeOutput()
 	tab.StartAnswered(at(12), ref(o), NotReceived)
-	assert.DeepEqual(t, tab.ReceivedRuns(time.Time{}), []RunID{ref(o)})
+	assert.DeepEqual(t, tab.ReceivedRuns(), []RunID{ref(o)})
 }
 
 // TestRunsOfAnEarlierIncarnationAreNotThoseOfTheLater: the minion crashes twice before its
@@ -49,9 +48,9 @@
 	started(t, tab, at(10), o)
 	tab.MinionRestarted(at(20))
 	assert.Equal(t, tab.OpenRuns(), 1)
-	assert.Equal(t, len(tab.ReceivedRuns(time.Time{})), 0)
+	assert.Equal(t, len(tab.ReceivedRuns()), 0)
 	tab.ApplyListing(at(30), Listing{SentAt: at(25), Running: []RunningRow{{RunID: ref(o)}}})
-	assert.DeepEqual(t, tab.ReceivedRuns(time.Time{}), []RunID{ref(o)})
+	assert.DeepEqual(t, tab.ReceivedRuns(), []RunID{ref(o)})
 }
 
 // TestNoStartIsRepeatedAtALaterIncarnation: a start that crashed the minion is not sent
@@ -70,15 +69,3 @@
 	tab.ApplyListing(at(120), Listing{SentAt: at(115)})
 	assert.Equal(t, onlyEnd(t, tab).Outcome, Stopped)
 }
-
-// TestRunsStartedInSilenceCountedAsReceived: a minion crashes silently, and starts go on until it counts as
-// unreachable.
-func TestRunsStartedInSilenceCountedAsReceived(t *testing.T) {
-	tab := table(t)
-	deadly, later := order("b", 0, 1000), order("a", 0, 1000)
-	sent(t, tab, at(10), deadly)
-	sent(t, tab, at(50), later)
-	assert.DeepEqual(t, tab.ReceivedRuns(time.Time{}), []RunID{ref(deadly), ref(later)})
-	assert.DeepEqual(t, tab.ReceivedRuns(at(40)), []RunID{ref(deadly)})
-	assert.DeepEqual(t, tab.ReceivedRuns(at(50)), []RunID{ref(deadly), ref(later)})
-}
