A task is not given up for a crash that came before its start was answered

Cause: the first start that is sent to a minion that has crashed silently gets no answer, like one that crashes it. It counted as a run under which the minion crashed.

Change: a runner says of each run of a crash whether its start was answered or listed. One that may not have begun counts only towards the limit of four minions, in any case.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -37,6 +37,8 @@
 	// Runs are the runs that were or may have been at work, in the order of their starts.
 	// All but one may be innocent.
 	Runs []runtable.RunID
+	// MayNotHaveBegun are those of the runs of which no answer or list has come.
+	MayNotHaveBegun map[runtable.RunID]bool
 }
 
 // CrashCount says how many minions have crashed under a task of a job that is here.
--- a/internal/dispatch/crash_memory.go
+++ b/internal/dispatch/crash_memory.go
@@ -15,6 +15,8 @@
 	wasLast bool
 	// wasOnlySuspect reports whether no minion had crashed under another job that ran there.
 	wasOnlySuspect bool
+	// begun reports whether the run was certainly at work.
+	begun bool
 }
 
 // jobCrashes are the crashes under the tasks of a job.
@@ -54,20 +56,27 @@
 
 // mustGiveUp reports whether a task is given up after crashes of its minions. All but one
 // of the tasks at a crash are innocent, and a job that could be done is of no use as failed.
+// A run that may not have begun counts for maxCrashes only: a task that crashes its minion
+// before the start is answered looks like one whose start was lost with the minion.
 func (j *jobCrashes) mustGiveUp(name runtable.TaskID) bool {
-	crashes := j.tasks[name]
-	switch n := len(crashes); {
+	n, begun := len(j.tasks[name]), begunOnly(j.tasks[name])
+	switch {
 	case n+len(j.lapses[name]) >= maxCrashes:
 		return true
-	case n >= maxCrashesIfLikely:
-		return slices.ContainsFunc(crashes, func(c taskCrash) bool { return c.wasLast })
-	case n >= maxCrashesIfToBlame:
-		return isToBlame(crashes)
+	case len(begun) >= maxCrashesIfLikely:
+		return slices.ContainsFunc(begun, func(c taskCrash) bool { return c.wasLast })
+	case len(begun) >= maxCrashesIfToBlame:
+		return isToBlame(begun)
 	default:
 		return false
 	}
 }
 
+// begunOnly returns the crashes of runs that were certainly at work.
+func begunOnly(crashes []taskCrash) []taskCrash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c taskCrash) bool { return !c.begun })
+}
+
 // isToBlame reports whether a task alone is to blame: it was the last at each crash, or the
 // last and the only suspect at one.
 func isToBlame(crashes []taskCrash) bool {
@@ -102,7 +111,7 @@
 	suspects := m.suspectsAt(c)
 	var counted []runtable.TaskID
 	for _, run := range c.Runs {
-		crash := taskCrash{crashID: c.id(), wasLast: run.Job == c.lastJob(), wasOnlySuspect: len(suspects) == 1 && suspects[run.Job]}
+		crash := taskCrash{crashID: c.id(), wasLast: run.Job == c.lastJob(), wasOnlySuspect: len(suspects) == 1 && suspects[run.Job], begun: !c.MayNotHaveBegun[run]}
 		if m.of(run.Job).add(run.TaskID, crash) {
 			counted = append(counted, run.TaskID)
 			m.touch(now, run.Job)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// TestTaskWasGivenUpForACrashThatItMayNotHaveSeen: of two crashes, the first came before its
+// start was answered, so it may never have begun there. A task that crashes each minion
+// before it answers is given up after maxCrashes.
+func TestTaskWasGivenUpForACrashThatItMayNotHaveSeen(t *testing.T) {
+	d := largeFleet(4)
+	for i := range maxCrashes {
+		run := runOf("a", 0, uint32(i+1))
+		assert.Assert(t, !d.crashes.givenUp("a"), "after %d crashes", i)
+		d.MinionCrashed(ms(i), Crash{
+			Endpoint: "m", StartedUnixMs: int64(i), Runs: []runtable.RunID{run}, MayNotHaveBegun: map[runtable.RunID]bool{run: i != 1},
+		})
+	}
+	assert.Assert(t, d.crashes.givenUp("a"))
+}
+
 // TestCrashCountedTwice: a report is repeated on a new session, and a run is named twice.
 func TestCrashCountedTwice(t *testing.T) {
 	d := largeFleet(2)
--- a/internal/dispatch/mass_crash_api_test.go
+++ b/internal/dispatch/mass_crash_api_test.go
@@ -8,8 +8,13 @@
 
 const refusedStart = runtable.NotReceived
 
-func receivedRuns(t *runtable.Table) []runtable.RunID { return t.ReceivedRuns() }
+func receivedRuns(t *runtable.Table) []runtable.ReceivedRun { return t.ReceivedRuns() }
 
-func tellCrash(d *Dispatcher, now time.Time, endpoint string, runs []runtable.RunID) {
-	d.MinionCrashed(now, Crash{Endpoint: endpoint, StartedUnixMs: 1, Runs: runs})
+func tellCrash(d *Dispatcher, now time.Time, endpoint string, runs []runtable.ReceivedRun) {
+	c := Crash{Endpoint: endpoint, StartedUnixMs: 1, MayNotHaveBegun: map[runtable.RunID]bool{}}
+	for _, r := range runs {
+		c.Runs = append(c.Runs, r.RunID)
+		c.MayNotHaveBegun[r.RunID] = !r.Begun
+	}
+	d.MinionCrashed(now, c)
 }
--- a/internal/dispatcher/crash_test.go
+++ b/internal/dispatcher/crash_test.go
@@ -33,7 +33,7 @@
 		assert.Equal(t, len(answer), 0)
 		runnerReported{s, &wirepb.RunnerReport{
 			Room:    room,
-			Crashes: []*wirepb.MinionCrash{{Endpoint: fmt.Sprint("i", i), StartedUnixMs: 7, Runs: []*wirepb.CrashedRun{{Job: "j", Run: run.Run}}}},
+			Crashes: []*wirepb.MinionCrash{{Endpoint: fmt.Sprint("i", i), StartedUnixMs: 7, Runs: []*wirepb.CrashedRun{{Job: "j", Run: run.Run, Begun: true}}}},
 			Ends: []*wirepb.TaskEnd{{
 				Job: "j", Run: run.Run, Outcome: wirepb.RunOutcome_RUN_OUTCOME_STOPPED, Reason: runtable.ReasonLeaseExpired,
 			}},
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -133,10 +133,12 @@
 }
 
 func crash(c *wirepb.MinionCrash) dispatch.Crash {
-	out := dispatch.Crash{Endpoint: c.Endpoint, StartedUnixMs: c.StartedUnixMs}
+	out := dispatch.Crash{Endpoint: c.Endpoint, StartedUnixMs: c.StartedUnixMs, MayNotHaveBegun: map[runtable.RunID]bool{}}
 	for _, r := range c.Runs {
 		name := runtable.TaskID{Job: r.Job, Step: r.Step, Index: r.Index}
-		out.Runs = append(out.Runs, runtable.RunID{TaskID: name, Run: r.Run})
+		run := runtable.RunID{TaskID: name, Run: r.Run}
+		out.Runs = append(out.Runs, run)
+		out.MayNotHaveBegun[run] = !r.Begun
 	}
 	return out
 }
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -25,7 +25,7 @@
 	// refused reports whether nobody listened at the last poll.
 	refused bool
 	// lapsed are the runs that the end of the lease has ended since the last list.
-	lapsed []runtable.RunID
+	lapsed []runtable.ReceivedRun
 	// reported is set once the crash was reported.
 	reported bool
 }
@@ -82,10 +82,10 @@
 	}
 }
 
-func crashedRuns(runs []runtable.RunID) []*wirepb.CrashedRun {
+func crashedRuns(runs []runtable.ReceivedRun) []*wirepb.CrashedRun {
 	out := make([]*wirepb.CrashedRun, len(runs))
 	for i, r := range runs {
-		out[i] = &wirepb.CrashedRun{Job: r.Job, Step: r.Step, Index: r.Index, Run: r.Run}
+		out[i] = &wirepb.CrashedRun{Job: r.Job, Step: r.Step, Index: r.Index, Run: r.Run, Begun: r.Begun}
 	}
 	return out
 }
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -256,6 +256,19 @@
 	}
 }
 
+// TestStartWithoutAnswerCountedAsBegun: the minion crashed before it answered a start.
+func TestStartWithoutAnswerCountedAsBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t)
+		f.start("a")
+		f.place("b")
+		f.successor("i-2", 20)
+		runs := f.takeCrashes()[0].Runs
+		assert.Equal(t, len(runs), 2)
+		assert.Assert(t, runs[0].Begun && !runs[1].Begun)
+	})
+}
+
 // TestOldCrashesAreForgotten: dispatchers that connect are told of the newest crashes only.
 func TestOldCrashesAreForgotten(t *testing.T) {
 	l := newLoop(&Process{opts: Options{Scope: tally.NoopScope}})
--- a/internal/runtable/property_test.go
+++ b/internal/runtable/property_test.go
@@ -320,7 +320,7 @@
 // checkReceived checks that a crash now counts for every run at work that the table
 // holds.
 func (w *workload) checkReceived() {
-	received := w.table.ReceivedRuns()
+	received := received(w.table)
 	for _, name := range w.minion.names() {
 		if r := w.table.find(name); r != nil {
 			assert.Assert(w.t, slices.Contains(received, name), "%v is at work and not received", name)
--- a/internal/runtable/received_test.go
+++ b/internal/runtable/received_test.go
@@ -6,6 +6,14 @@
 	"gotest.tools/v3/assert"
 )
 
+func received(tab *Table) []RunID {
+	var ids []RunID
+	for _, r := range tab.ReceivedRuns() {
+		ids = append(ids, r.RunID)
+	}
+	return ids
+}
+
 // TestRunsThatTheMinionNeverReceived: dispatchers sent tasks to a minion that had crashed for
 // 0.6 s until it counted as unreachable. None of their starts reached it, so it has not
 // crashed under them.
@@ -21,10 +29,10 @@
 	waits := order("d", 0, 9000)
 	tab.Place(at(32), waits)
 	tab.TakeOutput()
-	assert.DeepEqual(t, tab.ReceivedRuns(), []RunID{ref(first), ref(second)}) // by their starts
+	assert.DeepEqual(t, tab.ReceivedRuns(), []ReceivedRun{{ref(first), true}, {ref(second), false}}) // by their starts
 	assert.Equal(t, len(tab.TakeOutput().Ends), 0, "a run that was not received has not ended without its proof")
 	tab.LeaseExpired(at(2000))
-	assert.Equal(t, len(tab.ReceivedRuns()), 0)
+	assert.Equal(t, len(received(tab)), 0)
 }
 
 // TestStartThatOneAttemptMayHaveDelivered: the first attempt crashed the minion before its
@@ -36,7 +44,7 @@
 	tab.StartAnswered(at(11), ref(o), Unanswered)
 	tab.TakeOutput()
 	tab.StartAnswered(at(12), ref(o), NotReceived)
-	assert.DeepEqual(t, tab.ReceivedRuns(), []RunID{ref(o)})
+	assert.DeepEqual(t, received(tab), []RunID{ref(o)})
 }
 
 // TestRunsOfAnEarlierIncarnationAreNotThoseOfTheLater: the minion crashes twice before its
@@ -48,9 +56,9 @@
 	started(t, tab, at(10), o)
 	tab.MinionRestarted(at(20))
 	assert.Equal(t, tab.OpenRuns(), 1)
-	assert.Equal(t, len(tab.ReceivedRuns()), 0)
+	assert.Equal(t, len(received(tab)), 0)
 	tab.ApplyListing(at(30), Listing{SentAt: at(25), Running: []RunningRow{{RunID: ref(o)}}})
-	assert.DeepEqual(t, tab.ReceivedRuns(), []RunID{ref(o)})
+	assert.DeepEqual(t, received(tab), []RunID{ref(o)})
 }
 
 // TestNoStartIsRepeatedAtALaterIncarnation: a start that crashed the minion is not sent
