Runtable: the lapse of a start that nobody answered is not that of a run

Change: a run that never began ends with its lease as start_unanswered, so only leases of runs that were at work count.

--- a/internal/runtable/received.go
+++ b/internal/runtable/received.go
@@ -17,7 +17,7 @@
 	slices.SortStableFunc(received, func(a, b *run) int { return a.startSentAt.Compare(b.startSentAt) })
 	runs := make([]ReceivedRun, len(received))
 	for i, r := range received {
-		runs[i] = ReceivedRun{RunID{r.TaskID, r.Run}, r.listed || !r.startAnsweredAt.IsZero()}
+		runs[i] = ReceivedRun{RunID{r.TaskID, r.Run}, r.begun()}
 	}
 	return runs
 }
--- a/internal/runtable/received_test.go
+++ b/internal/runtable/received_test.go
@@ -77,3 +77,19 @@
 	tab.ApplyListing(at(120), Listing{SentAt: at(115)})
 	assert.Equal(t, onlyEnd(t, tab).Outcome, Stopped)
 }
+
+// TestLeaseOfARunThatNeverBeganLapsed: dispatchers count the lapse of a run that was at work as a crash that may come to
+// be known. A start that nobody answered is none.
+func TestLeaseOfARunThatNeverBeganLapsed(t *testing.T) {
+	tab := table(t)
+	begun, unanswered := order("a", 0, 1000), order("b", 0, 1000)
+	started(t, tab, at(10), begun)
+	sent(t, tab, at(20), unanswered)
+	tab.LeaseExpired(at(2000))
+	reasons := map[string]string{}
+	for _, end := range tab.TakeOutput().Ends {
+		assert.Equal(t, end.Outcome, Stopped)
+		reasons[end.Job] = end.Reason
+	}
+	assert.DeepEqual(t, reasons, map[string]string{"a": ReasonLeaseExpired, "b": ReasonStartUnanswered})
+}
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -161,12 +161,24 @@
 func (t *Table) LeaseExpired(now time.Time) {
 	for _, r := range t.sortedRuns() {
 		if r.state != waiting {
-			t.finish(now, r, Stopped, ReasonLeaseExpired)
+			t.finish(now, r, Stopped, r.lapseReason())
 		}
 	}
 	t.RequireList(now)
 }
 
+// lapseReason returns why a run ended that is over with the lease. One that may not have
+// begun says so: its minion may have been gone before.
+func (r *run) lapseReason() string {
+	if r.begun() {
+		return ReasonLeaseExpired
+	}
+	return ReasonStartUnanswered
+}
+
+// begun reports whether the minion has answered the start or listed the run.
+func (r *run) begun() bool { return r.listed || !r.startAnsweredAt.IsZero() }
+
 // UpdateMinion sets the capacity of the minion, and whether it accepts new work.
 func (t *Table) UpdateMinion(now time.Time, capacity Need, ready bool) {
 	t.capacity = capacity
