review/1: one task at work twice while the core is without power

Cause: dispatchers learn only through the control members that another one has a job open. While none is reachable, a job that its caller sends again is started at once, beside the runs of the first dispatcher, which was not told that the caller's channel broke (internal/dispatcher/sharedjobs.go).

Change: a script that shows it, with stand-ins of callers, minions and the infrastructure (review/standin, review/build.sh). Nothing else is changed.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases into target/. It needs the Go toolchain only.
+set -eu
+cd "$(dirname "$0")/standin"
+go build -o ../../target/review-standin .
