--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -353,6 +353,7 @@
 	EstRuntimeMs int64  `json:"estRuntimeMs"`
 	Constraints  string `json:"constraints,omitempty"`
 	After        []int  `json:"after,omitempty"`
+	AntiAffinity int    `json:"antiAffinity,omitempty"`
 }
 
 // job returns the body of a job that need not be kept. Each task works for workMS.
