--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// program is the command of the deploy file, before the path of the settings.
+	// program is what the command of the deploy file starts: "target/endivewing serve
+	// --config FILE".
 	program = "target/endivewing"
 	service = "retake"
 )
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -12,12 +12,15 @@
 )
 
 const (
-	maxHold        = time.Second
-	stopGrace      = 50 * time.Millisecond
-	reportInterval = 1500 * time.Millisecond
-	reportTimeout  = time.Second
-	holdStep       = time.Millisecond
-	maxListedEnds  = 500
+	maxHold        = time.Second             // bounds.maxHoldMs
+	stopGrace      = 50 * time.Millisecond   // bounds.stopGraceMs
+	reportInterval = 1500 * time.Millisecond // heartbeatMs
+	// reportTimeout is how long a minion waits for the acknowledgement of a report, and
+	// reportRetry the pause after one that was not acknowledged.
+	reportTimeout, reportRetry = time.Second, 200 * time.Millisecond
+	// holdStep is the pause between two looks for an end while a call waits for one.
+	holdStep      = time.Millisecond
+	maxListedEnds = 500
 )
 
 // run is a run at a minion, from its start to its end.
@@ -37,7 +40,7 @@
 	stopAt   time.Time
 }
 
-// task is a parsed task spec: the processor need and the run time.
+// taskSpec is the spec of a task: its need in thousandths of a core and its run time.
 type taskSpec struct {
 	CPU int64 `json:"cpu"`
 	MS  int64 `json:"ms"`
@@ -56,7 +59,6 @@
 	born     time.Time
 	server   *http.Server
 	listener net.Listener
-	conns    map[net.Conn]struct{}
 	down     chan struct{}
 	fence    uint64
 	deadline int64
@@ -67,7 +69,8 @@
 	seq      uint64
 }
 
-// minion is a sound minion beside a runner. The spec of a task gives its run time.
+// minion is a sound minion beside a runner. It does what PROTOCOL.md says of starts,
+// stops, leases, fencing tokens, lists and reports. The spec of a task gives its run time.
 type minion struct {
 	id, service, zone string
 	address, reports  string
@@ -99,7 +102,7 @@
 	defer m.mu.Unlock()
 	m.boots++
 	b := &boot{
-		number: m.boots, labels: labels, born: time.Now(), listener: l, conns: map[net.Conn]struct{}{}, down: make(chan struct{}),
+		number: m.boots, labels: labels, born: time.Now(), listener: l, down: make(chan struct{}),
 		runs: map[string]*run{}, lastRun: map[string]uint32{},
 	}
 	b.server = &http.Server{Handler: m.handler(b)}
@@ -298,7 +301,7 @@
 	return http.StatusOK, ""
 }
 
-// runs returns copies of all runs so far.
+// allRuns returns copies of all runs so far.
 func (m *minion) allRuns() []run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -323,7 +326,7 @@
 		}
 		pause = reportInterval
 		if !m.report(b) {
-			pause = 200 * time.Millisecond
+			pause = reportRetry
 		}
 	}
 }
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -67,15 +67,27 @@
 
 // breakCallers resets the callers' ends of all channels. The dispatcher's ends stay open.
 func (r *relay) breakCallers() {
+	r.mu.Lock()
+	n := len(r.conns)
+	r.mu.Unlock()
+	for i := range n {
+		r.breakCaller(i)
+	}
+}
+
+// breakCaller does this to one channel.
+func (r *relay) breakCaller(i int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, f := range r.conns {
-		f.broken = true
-		if tcp, ok := f.client.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = f.client.Close()
+	if i >= len(r.conns) {
+		return
+	}
+	f := r.conns[i]
+	f.broken = true
+	if tcp, ok := f.client.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = f.client.Close()
 }
 
 func (r *relay) close() {
