--- a/review/standin/cancelled.go
+++ b/review/standin/cancelled.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 )
 
@@ -12,8 +15,8 @@
 	stopBound   = 50 * time.Millisecond // bounds.stopGraceMs
 )
 
-// cancelled: a caller cancels its job while it runs. The job has a step of long tasks and
-// one that follows them.
+// cancelled: one of four callers cancels its job while it runs. The job has a step of long
+// tasks and one that follows them.
 func cancelled(rec *record, trouble bool) (finding, error) {
 	c, err := newCluster(rec, 3, 11)
 	if err != nil {
@@ -30,7 +33,12 @@
 	second := first
 	second.After = []int{0}
 	body := job([]step{first, second}, work)
-	path := "/print/" + jobID()
+	id := jobID()
+	path := "/print/" + id
+	var others sync.WaitGroup
+	for range 3 {
+		others.Go(func() { c.request("POST", c.front(0), "/print/"+jobID(), body, limit) })
+	}
 	posted := make(chan answer, 1)
 	go func() { posted <- c.request("POST", c.front(0), path, body, limit) }()
 	time.Sleep(100 * time.Millisecond)
@@ -41,8 +49,9 @@
 		acknowledged = time.Now()
 	}
 	end := <-posted
+	others.Wait()
 	time.Sleep(200 * time.Millisecond)
-	runs := c.runs()
+	runs := slices.DeleteFunc(c.runs(), func(r run) bool { return !strings.HasPrefix(r.Task, id) })
 	if len(runs) == 0 {
 		return finding{}, fmt.Errorf("nothing was started: %v", end)
 	}
