--- a/review/standin/sent_again_starting.go
+++ b/review/standin/sent_again_starting.go
@@ -14,14 +14,15 @@
 	// startsAt is when in a round the dispatcher starts again, downFor after it was killed:
 	// too short for two missed readiness checks, so that it stays in rotation.
 	startsAt, downFor = 2500 * time.Millisecond, 800 * time.Millisecond
-	// betweenBreaks is the time from one caller's broken channel to the next one's.
+	// betweenBreaks is the time from one broken channel to the next one.
 	betweenBreaks = 3 * time.Millisecond
-	// jobsARound jobs come at about 300 a second; their tasks fill half of the minions.
-	jobsARound = 120
+	// jobsARound jobs come in a round; the channels of every second one break. Their tasks
+	// fill half of the minions.
+	jobsARound = 200
 )
 
-// sentAgainWhileStarting: the channels of callers break at the infrastructure, one after
-// the other; each caller sends its job again after resend, to another dispatcher. With the
+// sentAgainWhileStarting: half of the channels of a dispatcher's callers break at the
+// infrastructure, one after the other; each of these callers sends its job again after resend, to another dispatcher. With the
 // disruption that dispatcher is killed, and starts again while the jobs come.
 func sentAgainWhileStarting(rec *record, trouble bool) (finding, error) {
 	c, err := newCluster(rec, 3, 11)
@@ -68,11 +69,11 @@
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	const work, sending = 3000, 2 * time.Millisecond
 	const limit = 6 * time.Second
-	// The first job comes again at firstAgain, the last one jobsARound*betweenBreaks later.
-	const firstAgain = startsAt - jobsARound*betweenBreaks/4
+	// The first job comes again at firstAgain, the last one jobsARound/2*betweenBreaks later.
+	const firstAgain = startsAt - jobsARound/2*betweenBreaks/4
 	const firstBreak = firstAgain - resend
 	at(firstBreak - jobsARound*sending - 100*time.Millisecond)
-	body := job([]step{{Count: 1, CPU: 1300, MemMb: 64, EstRuntimeMs: work}}, work)
+	body := job([]step{{Count: 1, CPU: 900, MemMb: 64, EstRuntimeMs: work}}, work)
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	for range jobsARound {
@@ -98,9 +99,9 @@
 	c.rec.add("channels of callers break one by one", nil)
 	var breaks sync.WaitGroup
 	breaks.Go(func() {
-		for i := range jobsARound {
+		for i := range jobsARound / 2 {
 			at(firstBreak + time.Duration(i)*betweenBreaks)
-			vip.breakCaller(i)
+			vip.breakCaller(2 * i)
 		}
 	})
 	if trouble {
