--- a/review/play2/caller.go
+++ b/review/play2/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -92,23 +93,43 @@
 	return out
 }
 
-// submitUntil sends jobs of two short tasks one after the other until stop is closed. It
-// notes no answers.
-func (w *world) submitUntil(stop <-chan struct{}, dispatcher int, queue string, ms, cpu int64) {
+// submitUntil sends jobs of two short tasks one after the other until stop is closed. Their
+// minions must have the label, if there is one. It notes no answers.
+func (w *world) submitUntil(stop <-chan struct{}, dispatcher int, queue string, ms, cpu int64, label string) {
 	for {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		j := newJob(specOf("load", ms, cpu), step{Count: 2, CPU: cpu, MemMb: 64, EstRuntimeMs: float64(ms)})
-		body, err := json.Marshal(j)
-		if err != nil {
-			return
-		}
-		out := w.call(context.Background(), http.MethodPost, w.dispatchers[dispatcher].front, queueHost, "/"+queue+"/"+j.id, body, 1500*time.Millisecond)
-		if out.status != http.StatusOK {
+		if out := w.submitShort(dispatcher, queue, ms, cpu, label); out.status != http.StatusOK {
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
 }
+
+// submitEvery sends such jobs at an interval to the dispatchers in turn, whether or not
+// the earlier ones are answered.
+func (w *world) submitEvery(interval time.Duration, stop <-chan struct{}, queue string, ms, cpu int64, label string) {
+	var open sync.WaitGroup
+	defer open.Wait()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		open.Go(func() { w.submitShort(n%len(w.dispatchers), queue, ms, cpu, label) })
+	}
+}
+
+func (w *world) submitShort(dispatcher int, queue string, ms, cpu int64, label string) reply {
+	j := newJob(specOf("short", ms, cpu), step{Count: 2, CPU: cpu, MemMb: 64, EstRuntimeMs: float64(ms), Constraints: label})
+	body, err := json.Marshal(j)
+	if err != nil {
+		return reply{err: err}
+	}
+	return w.call(context.Background(), http.MethodPost, w.dispatchers[dispatcher].front, queueHost, "/"+queue+"/"+j.id, body, 1500*time.Millisecond)
+}
--- a/review/play2/minion.go
+++ b/review/play2/minion.go
@@ -53,7 +53,8 @@
 
 	// The rest is guarded by m.mu.
 	fence    uint64
-	deadline int64 // of the lease, on the clock of this boot in milliseconds
+	listed   uint64 // the fencing token of the first call that was answered with lists
+	deadline int64  // of the lease, on the clock of this boot in milliseconds
 	running  map[string]*taskRun
 	highest  map[string]int64 // the highest run of a task that began or was stopped
 	ends     []endedRun
@@ -71,6 +72,9 @@
 	ended      time.Time
 	how        string
 	boot       *boot
+	// bootWasKnown reports whether the start carried a later fencing token than the first
+	// call that this boot answered with its lists: its caller knew the boot.
+	bootWasKnown bool
 }
 
 type endedRun struct {
@@ -276,6 +280,7 @@
 	}
 	b.extend(c.DeadlineMs)
 	r := &taskRun{task: c.Task, spec: c.Spec, run: c.RunID, cpu: specNumber(c.Spec, "cpu"), began: time.Now(), boot: b}
+	r.bootWasKnown = b.listed != 0 && c.FencingToken > b.listed
 	used := int64(0)
 	for _, other := range b.running {
 		used += other.cpu
@@ -352,6 +357,9 @@
 		}
 		b.m.mu.Lock()
 	}
+	if b.listed == 0 {
+		b.listed = c.FencingToken
+	}
 	running, ends := [][]any{}, [][]any{}
 	for _, r := range b.running {
 		total := max(specNumber(r.spec, "ms"), 1)
