--- a/review/play2/cases.go
+++ b/review/play2/cases.go
@@ -148,3 +148,46 @@
 	r.note("%d runs were started", len(allRuns.runs))
 	return nil
 }
+
+// playSilentCrashes has a job whose only task crashes each minion that starts it, before
+// the start is answered. The minion's host is silent until it is back.
+func playSilentCrashes(r *record, trouble bool) error {
+	const (
+		minions     = 11
+		downMs      = 4000
+		mostCrashes = 3
+		mostFurther = 2 // a third further start breaks the rule
+	)
+	w, err := newWorld(r, 3, 2, minions)
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	q := queue{name: "lohu930", priority: 0, timeoutMs: 25_000, targetLatencyMs: 60, stretch: 1.6, maxAttempts: 4}
+	var first []minionOptions
+	for i := range minions {
+		first = append(first, plainMinion(i, 8000))
+	}
+	if err := w.startAll(desiredState(1, service, true, q), first); err != nil {
+		return err
+	}
+	spec := specOf("print", 900, 3100)
+	if trouble {
+		spec += fmt.Sprintf(" crash=%d", downMs)
+	}
+	j := newJob(spec, step{Count: 1, CPU: 3100, MemMb: 64, EstRuntimeMs: 900})
+	out := w.submit(0, "lohu930", j, 20*time.Second)
+	time.Sleep(time.Second)
+	starts := len(allRuns.of(j.id))
+	r.note("%d starts of the task, each under another life of a minion", starts)
+	if !trouble {
+		if out.status != 200 {
+			return fmt.Errorf("the job was answered %d", out.status)
+		}
+		return nil
+	}
+	if further := starts - mostCrashes; further > mostFurther {
+		r.fail("BUDGET: the task was started %d times more after three minions had crashed under it", further)
+	}
+	return nil
+}
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"silent-minions": playSilentMinions,
 	"order-outlives": playOrderOutlivesMinion,
+	"silent-crashes": playSilentCrashes,
 }
 
 func main() { os.Exit(run()) }
--- a/review/play2/minion.go
+++ b/review/play2/minion.go
@@ -68,6 +68,8 @@
 	seq      uint64
 	draining bool
 
+	// dark is set once the boot has crashed silently.
+	dark bool
 	// The rest is guarded by m.mu.
 	fence    uint64
 	listed   uint64 // the fencing token of the first call that was answered with lists
@@ -131,6 +133,33 @@
 	return nil
 }
 
+// crashSilently ends the present life. Calls hang until the minion is back, as one of the
+// same name, after a while: its host answers nothing meanwhile. The caller holds m.mu.
+func (m *minion) crashSilently(down time.Duration) {
+	b := m.boot
+	m.boot = nil
+	b.dark = true
+	for _, r := range b.running {
+		r.ended, r.how = time.Now(), "lost"
+	}
+	b.running = map[string]*taskRun{}
+	close(b.quit)
+	m.record.note("minion %s crashes without a word, for %s", b.opts.id, down)
+	time.AfterFunc(down, func() {
+		_ = b.server.Close()
+		if err := m.start(b.opts); err != nil {
+			m.record.note("minion %s did not come back: %v", b.opts.id, err)
+		}
+	})
+}
+
+// hangs reports whether the boot has crashed without a word.
+func (b *boot) hangs() bool {
+	b.m.mu.Lock()
+	defer b.m.mu.Unlock()
+	return b.dark
+}
+
 // crash ends the present life without a word. Its runs end with it.
 func (m *minion) crash() {
 	m.mu.Lock()
@@ -238,12 +267,12 @@
 			b.answer(w, http.StatusMisdirectedRequest, map[string]any{})
 			return
 		}
-		if b.m.muted() {
+		if b.m.muted() || b.hangs() {
 			<-request.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
 		status, out := do(c)
-		if b.m.muted() {
+		if b.m.muted() || b.hangs() {
 			<-request.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -317,6 +346,10 @@
 	b.running[c.Task] = r
 	b.m.record.note("minion %s starts %s run %d", b.opts.id, c.Task, c.RunID)
 	b.m.began(r)
+	if down := specNumber(c.Spec, "crash"); down > 0 {
+		b.m.crashSilently(time.Duration(down) * time.Millisecond)
+		return http.StatusOK, map[string]any{}
+	}
 	time.AfterFunc(time.Duration(specNumber(c.Spec, "ms"))*time.Millisecond, func() {
 		b.m.mu.Lock()
 		defer b.m.mu.Unlock()
