Orders name the state of the minion that they were chosen by

From the logs three causes could not be told apart: a late order that the runner passes on to the later incarnation, an order that it kept while the minion restarted, or a dispatcher that goes on placing by an outdated report. Nothing said by which report an order was chosen.

A runner now numbers what its minion is (incarnation, service, labels) as a revision, its reports carry the number, and PlaceTasks returns the one of the report that the placement was chosen by. The runner writes one line for each order that was chosen by an earlier revision, with the age of the order and the time since the change. It still runs them: this commit changes no decision.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,7 +80,7 @@
 		t.mustHaveStartedAt = now.Add(wait + refusalLatency)
 		p := batches[r.id]
 		if p == nil {
-			p = &Placement{Runner: r.id, Job: o.Job, Step: step, Key: o.latestStart, Wait: wait}
+			p = &Placement{Runner: r.id, MinionRevision: r.MinionRevision, Job: o.Job, Step: step, Key: o.latestStart, Wait: wait}
 			batches[r.id] = p
 			order = append(order, p)
 		}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -80,6 +80,9 @@
 	Labels                        []string
 	Capacity, Free                Need
 	Ready                         bool
+	// MinionRevision numbers what the runner's minion is: its incarnation, service and
+	// labels. 0 means that the runner does not number them.
+	MinionRevision uint64
 	// Placed is the number of tasks of this dispatcher that Free accounts for.
 	Placed uint64
 	// RuntimeRatio is the run time of ended tasks divided by their estimates; 0 means
@@ -101,9 +104,11 @@
 // Placement assigns tasks of one step to a runner.
 type Placement struct {
 	Runner RunnerID
-	Job    *Job
-	Step   int
-	Runs   []runtable.RunID
+	// MinionRevision is the revision of its minion that the runner was chosen by.
+	MinionRevision uint64
+	Job            *Job
+	Step           int
+	Runs           []runtable.RunID
 	// Key orders the waiting tasks at the runner.
 	Key time.Time
 	// Wait is how long the tasks may wait at the runner for free capacity.
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -121,7 +121,8 @@
 	l.core.UpdateRunner(now, s.id, dispatch.RunnerStatus{
 		Name: s.runnerName(), Zone: s.link.zone, Service: status.GetService(), Endpoint: status.GetEndpoint(), Labels: status.GetLabels(),
 		Capacity: runtable.NeedOf(status.GetCapacity()), Free: runtable.NeedOf(status.GetFree()), Ready: status.GetReady(), Placed: status.GetPlaced(),
-		RuntimeRatio: float64(status.GetPaceMilli()) / 1000, FailureRate: float64(status.GetSuspicionMilli()) / 1000,
+		MinionRevision: status.GetMinionRevision(),
+		RuntimeRatio:   float64(status.GetPaceMilli()) / 1000, FailureRate: float64(status.GetSuspicionMilli()) / 1000,
 	})
 }
 
--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -249,15 +249,16 @@
 	step := &p.Job.Steps[p.Step]
 	stamp := s.runnerClock(now)
 	message := &wirepb.PlaceTasks{
-		Job:        p.Job.ID,
-		Step:       uint32(p.Step),
-		Spec:       p.Job.Spec,
-		Need:       step.Need.Message(),
-		Tasks:      taskRuns(p.Runs),
-		Key:        stamp + time.Until(p.Key).Milliseconds(),
-		EstimateMs: uint32(step.Estimate.Milliseconds()),
-		WaitMs:     uint32(p.Wait.Milliseconds()),
-		StampMs:    stamp,
+		Job:            p.Job.ID,
+		Step:           uint32(p.Step),
+		Spec:           p.Job.Spec,
+		Need:           step.Need.Message(),
+		Tasks:          taskRuns(p.Runs),
+		Key:            stamp + time.Until(p.Key).Milliseconds(),
+		EstimateMs:     uint32(step.Estimate.Milliseconds()),
+		WaitMs:         uint32(p.Wait.Milliseconds()),
+		StampMs:        stamp,
+		MinionRevision: p.MinionRevision,
 	}
 	l.metrics.tasksPlaced.Inc(int64(len(p.Runs)))
 	if !l.send(s, &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: message}}) {
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -36,6 +36,9 @@
 		l.p.opts.Log.Info("minion changed", "endpoint", r.Endpoint, "draining", r.Draining,
 			"cpu", r.Capacity.CPU, "left", l.incarnation.left, "running", l.table.Running())
 	}
+	if !sameKind(&l.incarnation.Report, r) {
+		l.revision = l.revision.next()
+	}
 	l.incarnation.Report = *r
 	l.incarnation.left = false
 	l.p.announceIfChanged(r)
@@ -146,6 +149,11 @@
 		return // nobody waits for the tasks
 	}
 	age := boottime.Now() - time.Duration(e.place.StampMs)*time.Millisecond
+	if l.revision.outdates(e.place) {
+		l.p.opts.Log.Info("order chosen by an earlier state of the minion", "job", e.place.Job, "step", e.place.Step, "tasks", len(e.place.Tasks),
+			"dispatcher", e.session.Peer().GetName(), "endpoint", l.incarnation.Endpoint, "chosen_by", e.place.MinionRevision,
+			"present", l.revision.number, "age_ms", age.Milliseconds(), "changed_ms", (boottime.Now() - l.revision.began).Milliseconds())
+	}
 	for _, t := range e.place.Tasks {
 		d.placed++
 		o := newOrder(d.owner, e.place, t, now)
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -156,6 +156,7 @@
 	l.recordCrash(now, "later_incarnation")
 	l.crash = crashEvidence{}
 	l.incarnation = incarnation{Report: r, number: l.incarnation.number + 1}
+	l.revision = l.revision.next()
 	l.longPolls, l.immediatePollActive = 0, false
 	l.lastList = listTimes{}
 	l.lease.reset()
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -20,6 +20,7 @@
 	p           *Process
 	table       *runtable.Table
 	incarnation incarnation
+	revision    minionRevision
 	lease       lease
 	// crash is the evidence of a crash of the present incarnation. crashes are those of
 	// earlier ones that dispatchers that connect are told of, the oldest first.
@@ -364,6 +365,7 @@
 	own := &wirepb.Room{
 		Service: common.Service, Endpoint: common.Endpoint, Labels: common.Labels, Capacity: common.Capacity, Free: common.Free,
 		Ready: common.Ready, Placed: d.placed, StampMs: common.StampMs, PaceMilli: common.PaceMilli, SuspicionMilli: common.SuspicionMilli,
+		MinionRevision: common.MinionRevision,
 	}
 	report := &wirepb.RunnerReport{Ends: d.ends, Crashes: d.crashes, Room: own}
 	d.ends, d.crashes, d.stale, d.lastReport = nil, nil, false, now
@@ -389,6 +391,7 @@
 		StampMs:        boottime.Now().Milliseconds(),
 		PaceMilli:      uint32(l.table.RuntimeRatio() * 1000),
 		SuspicionMilli: uint32(l.table.FailureRate() * 1000),
+		MinionRevision: l.revision.number,
 	}
 }
 
