A late order no longer starts at a minion of another kind

Cause: the dispatcher chooses a runner by what the runner last reported of its minion, and the order said nothing of it. The runner checked an order's age and the room, so up to 400 ms long it passed orders for the incarnation before on to the present one.

Change: a runner refuses an order that was chosen by another revision of its minion than the present one, as not run. The dispatcher hears of it in the report that also has the present service and labels, so it places the tasks where they may run. This holds for each fact that a minion is chosen by and that lasts as long as its incarnation: which minion it is, service, labels. Capacity, free capacity, draining and the end of a session are checked at the runner anyway.

The order of the message is built in a function of its own now, so that its test needs no session.

--- a/internal/dispatcher/loop.go
+++ b/internal/dispatcher/loop.go
@@ -246,24 +246,29 @@
 	if s == nil {
 		return // the event of the lost session is queued
 	}
+	message := placeTasks(p, s.runnerClock(now))
+	l.metrics.tasksPlaced.Inc(int64(len(p.Runs)))
+	if !l.send(s, &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: message}}) {
+		l.p.opts.Log.Info("tasks not sent", "runner", s.link.name, "job", p.Job.ID, "step", p.Step, "tasks", len(p.Runs))
+	}
+}
+
+// placeTasks returns the order for a placement. runnerClock is the present time on the
+// runner's clock, in milliseconds.
+func placeTasks(p dispatch.Placement, runnerClock int64) *wirepb.PlaceTasks {
 	step := &p.Job.Steps[p.Step]
-	stamp := s.runnerClock(now)
-	message := &wirepb.PlaceTasks{
+	return &wirepb.PlaceTasks{
 		Job:            p.Job.ID,
 		Step:           uint32(p.Step),
 		Spec:           p.Job.Spec,
 		Need:           step.Need.Message(),
 		Tasks:          taskRuns(p.Runs),
-		Key:            stamp + time.Until(p.Key).Milliseconds(),
+		Key:            runnerClock + time.Until(p.Key).Milliseconds(),
 		EstimateMs:     uint32(step.Estimate.Milliseconds()),
 		WaitMs:         uint32(p.Wait.Milliseconds()),
-		StampMs:        stamp,
+		StampMs:        runnerClock,
 		MinionRevision: p.MinionRevision,
 	}
-	l.metrics.tasksPlaced.Inc(int64(len(p.Runs)))
-	if !l.send(s, &wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: message}}) {
-		l.p.opts.Log.Info("tasks not sent", "runner", s.link.name, "job", p.Job.ID, "step", p.Step, "tasks", len(p.Runs))
-	}
 }
 
 func taskRuns(refs []runtable.RunID) []*wirepb.TaskRun {
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -148,17 +148,15 @@
 	if d == nil || l.ended(e.session) {
 		return // nobody waits for the tasks
 	}
-	age := boottime.Now() - time.Duration(e.place.StampMs)*time.Millisecond
-	if l.revision.outdates(e.place) {
-		l.p.opts.Log.Info("order chosen by an earlier state of the minion", "job", e.place.Job, "step", e.place.Step, "tasks", len(e.place.Tasks),
-			"dispatcher", e.session.Peer().GetName(), "endpoint", l.incarnation.Endpoint, "chosen_by", e.place.MinionRevision,
-			"present", l.revision.number, "age_ms", age.Milliseconds(), "changed_ms", (boottime.Now() - l.revision.began).Milliseconds())
+	refusal := l.refusalOf(e.place)
+	if refusal != "" {
+		l.logRefusal(d, e.place, refusal)
 	}
 	for _, t := range e.place.Tasks {
 		d.placed++
 		o := newOrder(d.owner, e.place, t, now)
-		if age > maxOrderAge {
-			l.table.Refuse(o, runtable.ReasonStale)
+		if refusal != "" {
+			l.table.Refuse(o, refusal)
 			continue
 		}
 		l.table.Place(now, o)
@@ -166,6 +164,31 @@
 	d.stale = true
 }
 
+// refusalOf returns why an order is refused as a whole, or an empty text: it may be
+// outdated since it was delayed on its way.
+func (l *loop) refusalOf(p *wirepb.PlaceTasks) string {
+	switch {
+	case orderAge(p) > maxOrderAge:
+		return runtable.ReasonStale
+	case l.revision.outdates(p):
+		return runtable.ReasonMinionChanged
+	default:
+		return ""
+	}
+}
+
+func (l *loop) logRefusal(d *dispatcher, p *wirepb.PlaceTasks, reason string) {
+	l.p.opts.Log.Info("order refused", "job", p.Job, "step", p.Step, "tasks", len(p.Tasks), "reason", reason,
+		"dispatcher", d.session.Peer().GetName(), "endpoint", l.incarnation.Endpoint, "chosen_by", p.MinionRevision,
+		"present", l.revision.number, "age_ms", orderAge(p).Milliseconds(), "changed_ms", (boottime.Now() - l.revision.began).Milliseconds())
+}
+
+// orderAge returns the time since an order was sent, at most a message's delivery time too
+// much.
+func orderAge(p *wirepb.PlaceTasks) time.Duration {
+	return boottime.Now() - time.Duration(p.StampMs)*time.Millisecond
+}
+
 func newOrder(owner runtable.Owner, p *wirepb.PlaceTasks, t *wirepb.TaskRun, now time.Time) runtable.Order {
 	return runtable.Order{
 		TaskID: runtable.TaskID{Job: p.Job, Step: p.Step, Index: t.Index},
--- a/internal/runtable/types.go
+++ b/internal/runtable/types.go
@@ -93,7 +93,10 @@
 	ReasonNoProgress      = "no_progress"
 	ReasonSlow            = "too_slow"
 	ReasonStale           = "order_too_old"
-	ReasonNotHere         = "not_here"
+	// ReasonMinionChanged means that the order was chosen by an earlier incarnation of the
+	// minion, or by a service or labels that it no longer has.
+	ReasonMinionChanged = "minion_changed"
+	ReasonNotHere       = "not_here"
 	// ReasonResubmitted means that the job was sent to another dispatcher later.
 	ReasonResubmitted = "job_sent_elsewhere"
 )
