Orders that wait at a runner are refused when the minion's labels change

A later incarnation of the minion refuses these already (TestOrderBeforeATakeoverStartsNothing). A report of the same incarnation with another service or other labels did not: the order started once capacity came free, at a minion that its task must not run at.

Change: a report that changes service or labels refuses the waiting orders, as it outdates those that are still on their way. The line "minion changed" names both.

Test: TestWaitingOrderStartedAfterTheLabelsChanged. Without the change it fails (no refusal arrives within the test's bound).

--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -32,12 +32,14 @@
 			"left", l.incarnation.left)
 		return
 	}
-	if r.Draining != l.incarnation.Draining || r.Capacity != l.incarnation.Capacity || l.incarnation.left {
-		l.p.opts.Log.Info("minion changed", "endpoint", r.Endpoint, "draining", r.Draining,
+	otherKind := !sameKind(&l.incarnation.Report, r)
+	if otherKind || r.Draining != l.incarnation.Draining || r.Capacity != l.incarnation.Capacity || l.incarnation.left {
+		l.p.opts.Log.Info("minion changed", "endpoint", r.Endpoint, "service", r.Service, "labels", r.Labels, "draining", r.Draining,
 			"cpu", r.Capacity.CPU, "left", l.incarnation.left, "running", l.table.Running())
 	}
-	if !sameKind(&l.incarnation.Report, r) {
+	if otherKind {
 		l.revision = l.revision.next()
+		l.table.RefuseWaiting(now, runtable.ReasonMinionChanged)
 	}
 	l.incarnation.Report = *r
 	l.incarnation.left = false
--- a/internal/runner/revision_test.go
+++ b/internal/runner/revision_test.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// TestWaitingOrderStartedAfterTheLabelsChanged guards against an order that waits for free
+// capacity while the minion becomes one that its task must not run at.
+func TestWaitingOrderStartedAfterTheLabelsChanged(t *testing.T) {
+	b := startFixture(t)
+	b.place("fills the minion", func(p *wirepb.PlaceTasks) { p.Need.CpuMilli = 4000 })
+	b.waitForMinion(func(running, _ int) bool { return running == 1 })
+	b.place("waits", func(p *wirepb.PlaceTasks) { p.WaitMs = 3_600_000 })
+	b.waitForReport(func(r *wirepb.RunnerReport) bool { return r.Room.Placed == 2 })
+	later := reportOfMinion("i-1", 10, 2)
+	later.Labels = []string{"b"}
+	b.runner.Report(t.Context(), later)
+	b.waitForRefusal(runtable.ReasonMinionChanged)
+	b.waitForMinion(func(running, starts int) bool { return running == 1 && starts == 1 })
+}
+
 // TestReportsOfTheSameMinionOutdateNoOrder guards against orders that are refused since
 // capacity, readiness or the number of the report has changed.
 func TestReportsOfTheSameMinionOutdateNoOrder(t *testing.T) {
--- a/internal/runtable/table.go
+++ b/internal/runtable/table.go
@@ -184,7 +184,7 @@
 	t.capacity = capacity
 	t.ready = ready
 	if !ready {
-		t.refuseWaiting(now, ReasonNotReady, func(*run) bool { return true })
+		t.RefuseWaiting(now, ReasonNotReady)
 		return
 	}
 	t.refuseWaiting(now, ReasonTooLarge, func(r *run) bool { return !r.Need.Fits(capacity) })
@@ -361,6 +361,11 @@
 	t.lastChange = now
 }
 
+// RefuseWaiting refuses all waiting runs.
+func (t *Table) RefuseWaiting(now time.Time, reason string) {
+	t.refuseWaiting(now, reason, func(*run) bool { return true })
+}
+
 // refuseWaiting refuses the waiting runs that the condition holds for.
 func (t *Table) refuseWaiting(now time.Time, reason string, holds func(*run) bool) {
 	for _, r := range slices.Clone(t.queue) {
