Queued tasks of a service that was taken away don't start

When an operator takes the service out of the endpoint resource meanwhile, the task started all the same once a slot came free, at a minion that it was no longer meant for. (The other facts were sound: a task names the incarnation of the agent, and drain, lease, an unreachable minion and held results refuse what is queued.)

Change: after a change of the services, the gate refuses the queued tasks of others as not run (unknown_service), as it does at their arrival. The owner then places them elsewhere. What runs goes on.

Test: TestQueuedTaskStartedAfterItsServiceWasTakenAway. Before the change it fails: no update comes for the queued task.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -43,7 +43,10 @@
 type Gate struct {
 	incarnation uint64
 	services    map[string]bool
-	limits      Limits
+	// servicesChanged is set until Settle has looked through the queue for tasks of other
+	// services.
+	servicesChanged bool
+	limits          Limits
 
 	groups          map[uint64]*group
 	jobs            map[uint64]*job
@@ -103,8 +106,9 @@
 }
 
 // SetServices replaces the services that the minion runs; nil means all
-// services.
+// services. Queued tasks of other services are refused; running ones continue.
 func (g *Gate) SetServices(services []string) {
+	g.servicesChanged = true
 	g.services = nil
 	if services == nil {
 		return
@@ -166,6 +170,7 @@
 		g.refuseAllQueued(now, g.lastClosedReason)
 		g.allocator.SetCapacity(0)
 	} else {
+		g.refuseOtherServices(now)
 		g.startQueued(now)
 		g.allocator.SetCapacity(g.limit())
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -224,6 +224,24 @@
 	}
 }
 
+// TestQueuedTaskStartedAfterItsServiceWasTakenAway guards against a queued task that starts
+// at a minion from which an operator has taken its service. What runs there goes on.
+func TestQueuedTaskStartedAfterItsServiceWasTakenAway(t *testing.T) {
+	b := newTestbed(t, testLimits())
+	for task, service := range map[uint32]string{1: "crop", 2: "print", 3: "crop"} {
+		b.g.StartTask(b.now, testSession, &wirepb.StartTask{
+			Job: 7, Task: task, Attempt: 1, Group: testEntry, Epoch: 1, Incarnation: 9, Service: service, Key: uint64(task),
+		})
+	}
+	started, _ := b.settle()
+	assert.DeepEqual(t, started, []uint32{1})
+	b.g.SetServices([]string{"print"})
+	b.wantUpdate(3, 1, notRun, ReasonUnknownService)
+	b.g.HandleRequestEnd(b.now, RequestEnd{Key: Key{Job: 7, Task: 1}, Kind: EndResult})
+	started, _ = b.settle()
+	assert.DeepEqual(t, started, []uint32{2})
+}
+
 func TestDrainRefusesQueuedTasksAndRevokesGrants(t *testing.T) {
 	b := newTestbed(t, testLimits())
 	b.start(1, 1)
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -42,7 +42,7 @@
 	if reason := g.closedReason(); reason != ReasonNone {
 		return reason
 	}
-	if g.services != nil && !g.services[m.Service] {
+	if !g.runsService(m.Service) {
 		return ReasonUnknownService
 	}
 	free := g.freeSlots()
@@ -114,6 +114,24 @@
 	}
 }
 
+// refuseOtherServices refuses the queued tasks of services that the minion no longer runs.
+func (g *Gate) refuseOtherServices(now time.Duration) {
+	if !g.servicesChanged {
+		return
+	}
+	g.servicesChanged = false
+	for f := g.queue.head; f != nil; {
+		next := f.next
+		if !g.runsService(f.request.Service) {
+			g.refuseQueued(now, f, ReasonUnknownService)
+		}
+		f = next
+	}
+}
+
+// runsService reports whether the minion runs tasks of a service.
+func (g *Gate) runsService(service string) bool { return g.services == nil || g.services[service] }
+
 // refuseQueued removes a task from the queue and makes it "not run".
 func (g *Gate) refuseQueued(now time.Duration, f *inFlightTask, reason Reason) {
 	g.queue.remove(f)
