--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -59,3 +59,21 @@
 	assert.Equal(t, len(out.Placements), 1)
 	assert.Equal(t, out.LostRuns[0].Confirmed, false)
 }
+
+// TestSpreadCountsLostRuns guards against more tasks of a step at one minion than it allows:
+// a run whose session was lost counts at the next session until its end is reported.
+func TestSpreadCountsLostRuns(t *testing.T) {
+	d := New("z")
+	d.UpdateRunner(ms(0), 1, minionStatus("m1", 10_000))
+	spread := step(2, 1000)
+	spread.MaxPerMinion = 1
+	d.Submit(ms(0), testJob(spread))
+	lost := d.TakeOutput().Placements[0].Runs[0]
+	d.RunnerLost(ms(100), 1)
+	d.UpdateRunner(ms(200), 9, minionStatus("m1", 10_000))
+	assert.Equal(t, len(d.TakeOutput().Placements), 0)
+	d.UpdateRunner(ms(300), 9, minionStatus("m1 after a restart", 10_000))
+	assert.Equal(t, len(d.TakeOutput().Placements), 0)
+	d.RunEnded(ms(400), 9, TaskEnd{RunID: lost, Outcome: runtable.Stopped, Reason: runtable.ReasonMinionGone})
+	assert.DeepEqual(t, tasksPerRunner(d.TakeOutput()), map[RunnerID]int{9: 1})
+}
