The test of late orders fails as soon as one starts

It waited a minute for a refusal in each of its five cases; with the fault planted the package ran into its time limit. It now fails at the first start.

--- a/internal/runner/revision_test.go
+++ b/internal/runner/revision_test.go
@@ -44,17 +44,24 @@
 	return present
 }
 
-// waitForRefusal waits until a run is reported as not run for a reason.
-func (b *fixture) waitForRefusal(reason string) {
+// waitForRefusal waits until a run is reported as not run for a reason. It fails if the
+// minion gets more starts than it had.
+func (b *fixture) waitForRefusal(starts int, reason string) {
 	b.t.Helper()
-	b.waitForReport(func(r *wirepb.RunnerReport) bool {
-		if len(r.Ends) == 0 {
-			return false
+	for began := time.Now(); time.Since(began) < hangTimeout; {
+		select {
+		case r := <-b.reports:
+			if len(r.Ends) > 0 {
+				assert.Equal(b.t, r.Ends[0].Outcome, wirepb.RunOutcome_RUN_OUTCOME_NOT_RUN)
+				assert.Equal(b.t, r.Ends[0].Reason, reason)
+				return
+			}
+		case <-time.After(time.Millisecond):
+			_, now := b.minion.count()
+			assert.Equal(b.t, now, starts, "the order was started")
 		}
-		assert.Equal(b.t, r.Ends[0].Outcome, wirepb.RunOutcome_RUN_OUTCOME_NOT_RUN)
-		assert.Equal(b.t, r.Ends[0].Reason, reason)
-		return true
-	})
+	}
+	b.t.Fatal("no run was refused")
 }
 
 // TestLateOrderStartedAtAMinionOfAnotherKind guards against an order that a link held up
@@ -81,7 +88,7 @@
 			present := b.waitForRevision(func(r *wirepb.Room) bool { return r.MinionRevision != chosenBy })
 
 			b.placeChosenBy("late", chosenBy)
-			b.waitForRefusal(runtable.ReasonMinionChanged)
+			b.waitForRefusal(0, runtable.ReasonMinionChanged)
 			b.placeChosenBy("fresh", present)
 			b.waitForMinion(func(running, starts int) bool { return running == 1 && starts == 1 })
 		})
@@ -99,7 +106,7 @@
 	later := reportOfMinion("i-1", 10, 2)
 	later.Labels = []string{"b"}
 	b.runner.Report(t.Context(), later)
-	b.waitForRefusal(runtable.ReasonMinionChanged)
+	b.waitForRefusal(1, runtable.ReasonMinionChanged)
 	b.waitForMinion(func(running, starts int) bool { return running == 1 && starts == 1 })
 }
 
@@ -128,7 +135,7 @@
 	b.waitUntilReady(20)
 	changed := b.presentRevision().began
 	b.place("late", func(p *wirepb.PlaceTasks) { p.StampMs = (changed - time.Millisecond).Milliseconds() })
-	b.waitForRefusal(runtable.ReasonMinionChanged)
+	b.waitForRefusal(0, runtable.ReasonMinionChanged)
 	b.place("fresh", func(p *wirepb.PlaceTasks) { p.StampMs = changed.Milliseconds() })
 	b.waitForMinion(func(running, starts int) bool { return running == 1 && starts == 1 })
 }
