--- a/internal/runner/revision_test.go
+++ b/internal/runner/revision_test.go
@@ -86,6 +86,7 @@
 			b.minion.restart(later.Endpoint, later.StartedUnixMs)
 			b.runner.Report(t.Context(), later)
 			present := b.waitForRevision(func(r *wirepb.Room) bool { return r.MinionRevision != chosenBy })
+			assert.Assert(t, present > chosenBy, "revision %d after %d", present, chosenBy)
 
 			b.placeChosenBy("late", chosenBy)
 			b.waitForRefusal(0, runtable.ReasonMinionChanged)
