--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -179,6 +179,7 @@
 	}
 }
 
+// logRefusal logs the state of the minion that an order was chosen by, and the present one.
 func (l *loop) logRefusal(d *dispatcher, p *wirepb.PlaceTasks, reason string) {
 	l.p.opts.Log.Info("order refused", "job", p.Job, "step", p.Step, "tasks", len(p.Tasks), "reason", reason,
 		"dispatcher", d.session.Peer().GetName(), "endpoint", l.incarnation.Endpoint, "chosen_by", p.MinionRevision,
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -227,10 +227,17 @@
 
 // placeTask orders a task. age is how long ago the order was made.
 func (b *fixture) placeTask(job string, age time.Duration) {
-	b.send(&wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: &wirepb.PlaceTasks{
+	b.place(job, func(p *wirepb.PlaceTasks) { p.StampMs = (boottime.Now() - age).Milliseconds() })
+}
+
+// place orders a task with one run, made now and of one core unless change says otherwise.
+func (b *fixture) place(job string, change func(p *wirepb.PlaceTasks)) {
+	p := &wirepb.PlaceTasks{
 		Job: job, Need: &wirepb.Need{CpuMilli: 1000}, Tasks: []*wirepb.TaskRun{{Run: 1}}, EstimateMs: 3_600_000, WaitMs: 40,
-		StampMs: (boottime.Now() - age).Milliseconds(),
-	}}})
+		StampMs: boottime.Now().Milliseconds(),
+	}
+	change(p)
+	b.send(&wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: p}})
 }
 
 // waitForReport reads reports until one matches.
--- a/internal/runner/revision_test.go
+++ b/internal/runner/revision_test.go
@@ -7,20 +7,9 @@
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
-	"endivewing/internal/boottime"
 	"endivewing/internal/runtable"
 )
 
-// place orders a task with one run of 1000 thousandths of a core.
-func (b *fixture) place(job string, change func(p *wirepb.PlaceTasks)) {
-	p := &wirepb.PlaceTasks{
-		Job: job, Need: &wirepb.Need{CpuMilli: 1000}, Tasks: []*wirepb.TaskRun{{Run: 1}}, EstimateMs: 3_600_000, WaitMs: 40,
-		StampMs: boottime.Now().Milliseconds(),
-	}
-	change(p)
-	b.send(&wirepb.Envelope{Body: &wirepb.Envelope_PlaceTasks{PlaceTasks: p}})
-}
-
 // placeChosenBy orders a task that was chosen by a revision of the minion.
 func (b *fixture) placeChosenBy(job string, revision uint64) {
 	b.place(job, func(p *wirepb.PlaceTasks) { p.MinionRevision = revision })
