Log lines for the way of a document: published, received, time to decode

The logs said when a member applied a document and when a dispatcher put it in force, but not when it was sent, to how many processes and when it arrived. So a full link, a slow dispatcher and a member that stays silent looked alike.

Added: 'document published' at members (version, bytes, number of processes), 'document received' at dispatchers and runners (member, version held), the time to decode in 'document in force'. No logic is changed.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -101,8 +101,15 @@
 		changeSet.document, changeSet.sendToAll = l.state.Document(), d.changed
 		d.changed = false
 	}
+	documents := 0
 	for session, to := range d.subscribers {
-		d.send(session, to, changeSet, l.minions.lastMinion(to.announce))
+		if d.send(session, to, changeSet, l.minions.lastMinion(to.announce)) {
+			documents++
+		}
+	}
+	if documents > 0 {
+		l.opts.Log.Info("document published", "version", changeSet.document.GetVersion(), "bytes", len(changeSet.document.GetBody()),
+			"processes", documents, "index", l.applied, "term", l.appliedTerm)
 	}
 	clear(d.joined)
 	d.left, d.lastPublished = nil, now
@@ -146,11 +153,12 @@
 
 // send sends one subscriber an update if it needs one. The first update to a
 // dispatcher lists all connected processes, later ones only the changes. The
-// first update to a runner has its last minion.
-func (d *directory) send(session *wire.Session, to *subscriber, c *changeSet, lastMinion *wirepb.MinionRecord) {
+// first update to a runner has its last minion. It reports whether the update has the
+// document.
+func (d *directory) send(session *wire.Session, to *subscriber, c *changeSet, lastMinion *wirepb.MinionRecord) (hasDocument bool) {
 	isDispatcher := to.announce.Role == roleDispatcher
 	if to.updateSent && !isDispatcher && !c.sendToAll && to.version >= c.document.GetVersion() {
-		return
+		return false
 	}
 	update := &wirepb.DirectoryUpdate{Members: c.members}
 	switch {
@@ -168,4 +176,5 @@
 	}
 	to.updateSent = true
 	_ = session.Send(wire.LaneUrgent, &wirepb.Envelope{Body: &wirepb.Envelope_DirectoryUpdate{DirectoryUpdate: update}})
+	return update.Document != nil
 }
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -176,6 +176,10 @@
 		c.addMember(address, false)
 	}
 	newer = update.Document.GetVersion() > c.document.GetVersion()
+	if update.Document != nil {
+		c.opts.Log.Info("document received", "version", update.Document.Version, "bytes", len(update.Document.Body),
+			"member", m.address, "held", c.document.GetVersion())
+	}
 	if newer {
 		c.document = update.Document
 	}
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -91,6 +91,7 @@
 	if d == nil || current != nil && current.Document.Version >= d.Version {
 		return
 	}
+	began := time.Now()
 	document, err := p.opts.Decode(d.Body)
 	if err != nil {
 		p.opts.Log.Error(err, "configuration document not decoded", "version", d.Version)
@@ -98,7 +99,8 @@
 	}
 	p.table.Store(fleetconfig.NewRouteTable(document))
 	p.checkStart()
-	p.opts.Log.Info("document in force", "version", d.Version, "routes", len(document.Routes), "services", len(document.Services))
+	p.opts.Log.Info("document in force", "version", d.Version, "routes", len(document.Routes), "services", len(document.Services),
+		"took_ms", time.Since(began).Milliseconds())
 }
 
 // Table returns the configuration in force, or nil.
