--- a/internal/controlmember/controlmember_test.go
+++ b/internal/controlmember/controlmember_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -21,6 +22,8 @@
 	dir   string
 	port  int
 	seeds []string
+	// scope receives the metrics of the members; it may be nil.
+	scope tally.Scope
 }
 
 func newGroup(t *testing.T) *group {
@@ -39,7 +42,7 @@
 	g.t.Helper()
 	m, err := Start(g.t.Context(), Options{
 		Cluster: "test", Name: fmt.Sprint("member", host), Zone: "z", Address: g.address(host), ListenAddress: g.address(host), Seeds: g.seeds,
-		FirstStart: first, DataDir: filepath.Join(g.dir, disk), Voters: 3, Log: logr.Discard(),
+		FirstStart: first, DataDir: filepath.Join(g.dir, disk), Voters: 3, Log: logr.Discard(), Scope: g.scope,
 	})
 	assert.NilError(g.t, err)
 	g.t.Cleanup(func() { kill(m) })
--- a/internal/controlmember/directory_test.go
+++ b/internal/controlmember/directory_test.go
@@ -29,12 +29,12 @@
 	return connectAnnounced(t, &wirepb.Announce{Role: role, Name: name, Address: name}, address)
 }
 
-// connectAnnounced connects a process with a given announcement to a member.
-func connectAnnounced(t *testing.T, announce *wirepb.Announce, address string) *testProcess {
+// connectAnnounced connects a process with a given announcement to members.
+func connectAnnounced(t *testing.T, announce *wirepb.Announce, address ...string) *testProcess {
 	p := &testProcess{}
 	hello := &wirepb.Hello{Role: announce.Role, Name: announce.Name, Cluster: "test"}
 	p.Client = directory.Start(directory.Options{
-		Seeds:    []string{address},
+		Seeds:    address,
 		Wire:     wire.Options{Hello: func() *wirepb.Hello { return proto.CloneOf(hello) }, Log: logr.Discard()},
 		Announce: func() *wirepb.Announce { return proto.CloneOf(announce) },
 		OnLastMinion: func(minion *wirepb.MinionRecord) {
