Sessions send large frames in parts of 16 KB

Cause: a lane wrote each frame, of up to several MB, with one write, which yamux sends as one frame of its own. While it arrives, yamux holds the lock of the stream, so a message that arrived whole before it can't be read; the reads above it see no bytes, so the session ends as silent although its link is full of its bytes, and the member sends the document again; and the other lane, which is there for small messages that must not wait, waits for all of it.

Change: a frame is written in parts of 16 KB. Between two of them the lock is free and the lanes take turns.

TestMessageWasHeldBackByTheNextOne lets the second message arrive in steps of 4 KB rather than at once, since a part that stops in the middle still holds the lock: that is 5 ms at 25 Mbit/s. As many bytes arrive as before, and it fails on the code before.

--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"reflect"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,11 @@
 // the buffer.
 var readBufferBytes = [laneCount]int{LaneTraffic: 16 << 10, LaneUrgent: 2 << 10}
 
+// maxWriteBytes is the size of the largest write to a stream. The multiplexer sends each
+// write as one frame of its own: the other lane waits for the whole of it, and while it
+// arrives, nothing can be read on its stream.
+const maxWriteBytes = 16 << 10
+
 // lane is one ordered stream of a session with its send queue.
 type lane struct {
 	session *Session
@@ -121,7 +127,7 @@
 			var err error
 			buf, batch, err = l.encodeFrame(buf[:0], batch)
 			if err == nil {
-				_, err = l.conn.Write(buf)
+				err = l.write(buf)
 			}
 			if err != nil {
 				return
@@ -130,6 +136,16 @@
 	}
 }
 
+// write writes a frame in parts of at most maxWriteBytes.
+func (l *lane) write(frame []byte) error {
+	for part := range slices.Chunk(frame, maxWriteBytes) {
+		if _, err := l.conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // encodeFrame does what appendFrame does, but leaves out messages that can't be
 // encoded, such as one with a string that is no text. They must not end the session:
 // the next one would get the same message.
--- a/internal/wire/large_test.go
+++ b/internal/wire/large_test.go
@@ -162,7 +162,12 @@
 	assert.NilError(t, from.Send(LaneTraffic, messageOf(frameTargetBytes)))
 	assert.NilError(t, from.Send(LaneTraffic, messageOf(4*frameTargetBytes)))
 	gate.waitUntilWaiting(5 * frameTargetBytes)
-	gate.allow(2 * frameTargetBytes)
+	gate.allow(frameTargetBytes)
+	const step = 4 << 10
+	for range frameTargetBytes / step { // a quarter of the second message
+		gate.allow(step)
+		time.Sleep(time.Millisecond)
+	}
 	r.waitFor(t, frameTargetBytes)
 }
 
