Dispatchers request a new document, compressed, from one member

Cause: each member sent each new document whole to each process connected to it, also to runners, which use none. A change of 2,500 routes came to 315 documents of 0.6 MB; five of them went to each entry host, over a link that carries 3.1 MB/s. At a change each 0.5 s the link fell behind, and nothing withdrew copies that a newer version had overtaken.

Change: members tell dispatchers the version only, and runners nothing. A dispatcher requests the newest document from one member, the one with the newest version, in its own zone if possible; after 400 ms without a reply it asks a further one too, at once after an error, and takes what comes first. One document is under way at a time, so those that are overtaken meanwhile cost nothing. The body is compressed once a member and version. Requests and replies go on the lane for traffic, where the document does not delay news of shared jobs and members. Processes and members of the version before get and send whole documents as before.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -26,9 +26,9 @@
 type sessionEnded struct{ session *wire.Session }
 
 // directory sends updates to the processes connected to this member: the control
-// members, the newest committed configuration document and, for dispatchers, the
-// processes connected to this member. It is kept in memory only and differs
-// from member to member.
+// members and, for dispatchers, the version of the newest committed configuration
+// document and the processes connected to this member. It is kept in memory only and
+// differs from member to member.
 type directory struct {
 	subscribers map[*wire.Session]*subscriber
 	// joined holds the sessions with an Announce since the last update. left
@@ -36,16 +36,18 @@
 	joined map[*wire.Session]bool
 	left   []*wirepb.Announce
 	// changed is set if the members, the document or the leadership changed
-	// since the last update.
-	changed       bool
+	// since this member was last known to be current, membersChanged if the members did.
+	changed, membersChanged bool
+	// document is the newest document that was published, or nil.
+	document      *wirepb.Document
 	lastPublished time.Time
 }
 
 // subscriber is a connected process that has announced itself.
 type subscriber struct {
 	announce *wirepb.Announce
-	// version is the version of the newest document that the process has or was
-	// sent.
+	// version is the version of the newest document that the process has, was told of
+	// or was sent.
 	version uint64
 	// updateSent is set once the process has been sent an update.
 	updateSent bool
@@ -89,7 +91,7 @@
 
 // publish sends the changes since the last update to the processes that need
 // them. A member that knows no leader, or has not applied an entry of the
-// leader's term yet, sends no document, because its own may be outdated. It
+// leader's term yet, says nothing of a document, because its own may be outdated. It
 // still publishes the connected processes.
 func (d *directory) publish(l *loop, now time.Time) {
 	current := l.leadership.Leader != 0 && l.appliedTerm == l.leadership.Term
@@ -98,23 +100,36 @@
 	}
 	changeSet := d.changeSet(l)
 	if current {
-		changeSet.document, changeSet.sendToAll = l.state.Document(), d.changed
-		d.changed = false
+		d.refreshDocument(l)
+		changeSet.document, changeSet.sendToAll = d.document, d.membersChanged
+		d.changed, d.membersChanged = false, false
 	}
-	documents := 0
+	told := 0
 	for session, to := range d.subscribers {
 		if d.send(session, to, changeSet, l.minions.lastMinion(to.announce)) {
-			documents++
+			told++
 		}
 	}
-	if documents > 0 {
-		l.opts.Log.Info("document published", "version", changeSet.document.GetVersion(), "bytes", len(changeSet.document.GetBody()),
-			"processes", documents, "index", l.applied, "term", l.appliedTerm)
+	if told > 0 {
+		l.opts.Log.Info("document published", "version", d.document.Version, "bytes", len(d.document.Body),
+			"processes", told, "index", l.applied, "term", l.appliedTerm)
 	}
 	clear(d.joined)
 	d.left, d.lastPublished = nil, now
 }
 
+// refreshDocument takes over the document of the ledger if it may have changed.
+func (d *directory) refreshDocument(l *loop) {
+	if !d.changed {
+		return
+	}
+	document := l.state.Document()
+	if document.GetVersion() != d.document.GetVersion() {
+		d.document = document
+		l.p.documents.publish(document)
+	}
+}
+
 // changeSet is the content of one round of updates.
 type changeSet struct {
 	// joined and left have changed since the last update; all are the processes
@@ -153,13 +168,10 @@
 
 // send sends one subscriber an update if it needs one. The first update to a
 // dispatcher lists all connected processes, later ones only the changes. The
-// first update to a runner has its last minion. It reports whether the update has the
-// document.
+// first update to a runner has its last minion. It reports whether the update is
+// about the document.
 func (d *directory) send(session *wire.Session, to *subscriber, c *changeSet, lastMinion *wirepb.MinionRecord) (hasDocument bool) {
 	isDispatcher := to.announce.Role == roleDispatcher
-	if to.updateSent && !isDispatcher && !c.sendToAll && to.version >= c.document.GetVersion() {
-		return false
-	}
 	update := &wirepb.DirectoryUpdate{Members: c.members}
 	switch {
 	case isDispatcher && to.updateSent:
@@ -167,14 +179,31 @@
 	case isDispatcher:
 		update.Processes = c.all
 	}
-	if c.document.GetVersion() > to.version {
-		update.Document = c.document
-		to.version = c.document.Version
+	hasDocument = to.addDocument(update, c.document)
+	if to.updateSent && !c.sendToAll && !hasDocument && len(update.Processes)+len(update.Left) == 0 {
+		return false
 	}
 	if !to.updateSent {
 		update.LastMinion = lastMinion
 	}
 	to.updateSent = true
 	_ = session.Send(wire.LaneUrgent, &wirepb.Envelope{Body: &wirepb.Envelope_DirectoryUpdate{DirectoryUpdate: update}})
-	return update.Document != nil
+	return hasDocument
+}
+
+// addDocument adds to an update what the subscriber is to know of a document, and reports
+// whether it is anything. A dispatcher requests the document itself, once from any of the
+// members, and a runner uses none. A process of an older version gets all of it.
+func (s *subscriber) addDocument(update *wirepb.DirectoryUpdate, document *wirepb.Document) bool {
+	fetches := s.announce.FetchesDocuments
+	if document.GetVersion() <= s.version || fetches && s.announce.Role != roleDispatcher {
+		return false
+	}
+	s.version = document.Version
+	if fetches {
+		update.DocumentVersion = document.Version
+	} else {
+		update.Document = document
+	}
+	return true
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -80,7 +80,7 @@
 // members and to the directory.
 func (l *loop) updateMembers() {
 	l.members = l.currentMembers()
-	l.directory.changed = true
+	l.directory.changed, l.directory.membersChanged = true, true
 	l.p.peers.update(l.members)
 }
 
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -28,6 +28,7 @@
 	logWriter         *logWriter
 	loop              *loop
 	snapshotTransfers snapshotTransfers
+	documents         documents
 
 	// leadership is the leadership last seen by the loop, for requests of this
 	// process.
--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -32,6 +32,7 @@
 	reasonUnknown         = "unknown_request"
 	reasonTooLarge        = "record_too_large"
 	reasonOtherDisk       = "member_has_another_disk"
+	reasonNoDocument      = "no_such_document"
 )
 
 // onOutboundEnvelope handles messages on sessions that this member opened.
@@ -66,6 +67,10 @@
 		return
 	}
 	from := caller{session: s, call: e.Call, lane: laneOf(e)}
+	if request := e.GetFetchDocumentRequest(); request != nil {
+		from.reply(p.documents.response(request))
+		return
+	}
 	if chunk := e.GetSnapshotChunk(); chunk != nil && fromMember {
 		p.snapshotTransfers.receive(from, chunk)
 		return
--- a/internal/controlmember/directory_test.go
+++ b/internal/controlmember/directory_test.go
@@ -47,7 +47,8 @@
 			defer p.mu.Unlock()
 			p.view = view
 		},
-		Log: logr.Discard(),
+		UsesDocuments: announce.Role == "dispatcher",
+		Log:           logr.Discard(),
 	})
 	t.Cleanup(p.Close)
 	return p
@@ -128,3 +129,34 @@
 		return proto.Equal(returned.lastMinion, minion)
 	})
 }
+
+// TestProcessOfAnOlderVersionGetsWholeDocuments: a dispatcher that has not been upgraded
+// yet requests none.
+func TestProcessOfAnOlderVersionGetsWholeDocuments(t *testing.T) {
+	g := newGroup(t)
+	members := g.startAll()
+	g.put(members[1], 3)
+	updates := make(chan *wirepb.DirectoryUpdate, 16)
+	s, err := wire.Dial(t.Context(), g.address(2), wire.Options{
+		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "dispatcher", Name: "old", Cluster: "test"} },
+		Handler: func(_ *wire.Session, e *wirepb.Envelope) {
+			if update := e.GetDirectoryUpdate(); update != nil {
+				updates <- update
+			}
+		},
+		Log: logr.Discard(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	s.Start()
+	announce := &wirepb.Announce{Role: "dispatcher", Name: "old"}
+	assert.NilError(t, s.Send(wire.LaneUrgent, &wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: announce}}))
+	g.waitFor("the dispatcher has the document", func() bool {
+		select {
+		case update := <-updates:
+			return string(update.Document.GetBody()) == "v3"
+		default:
+			return false
+		}
+	})
+}
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -1,7 +1,7 @@
 // Package directory keeps a process connected to every control member and
 // merges what they report: the processes that are connected to them and the
-// newest configuration document. It needs no leader. While no member is
-// reachable, the last view stays in use.
+// version of the newest configuration document, which it requests from one of them. It
+// needs no leader. While no member is reachable, the last view stays in use.
 package directory
 
 import (
@@ -32,6 +32,8 @@
 	Announce func() *wirepb.Announce
 	// OnChange is called after updates. Calls do not overlap.
 	OnChange func(View)
+	// UsesDocuments is set if the process needs configuration documents.
+	UsesDocuments bool
 	// OnLastMinion, if not nil, is called with the minion that a member remembers
 	// of this process.
 	OnLastMinion func(*wirepb.MinionRecord)
@@ -56,6 +58,9 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
+	// documentOffered wakes the goroutine that requests documents.
+	documentOffered chan struct{}
+
 	mu       sync.Mutex
 	members  map[string]*member
 	document *wirepb.Document
@@ -68,8 +73,11 @@
 
 // Start returns a client that dials the seeds.
 func Start(opts Options) *Client {
-	c := &Client{opts: opts, started: time.Now(), members: map[string]*member{}}
+	c := &Client{opts: opts, started: time.Now(), members: map[string]*member{}, documentOffered: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if opts.UsesDocuments {
+		c.wg.Go(c.fetchDocuments)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, address := range opts.Seeds {
@@ -99,7 +107,7 @@
 	c.announceMu.Lock()
 	defer c.announceMu.Unlock()
 	announce := c.opts.Announce()
-	announce.KnownVersion = c.documentVersion()
+	announce.KnownVersion, announce.FetchesDocuments = c.documentVersion(), true
 	e := &wirepb.Envelope{Body: &wirepb.Envelope_Announce{Announce: announce}}
 	for _, s := range sessions {
 		_ = s.Send(wire.LaneUrgent, e) // after an error the next session announces again
@@ -175,13 +183,16 @@
 	for _, address := range update.Members {
 		c.addMember(address, false)
 	}
-	newer = update.Document.GetVersion() > c.document.GetVersion()
-	if update.Document != nil {
-		c.opts.Log.Info("document received", "version", update.Document.Version, "bytes", len(update.Document.Body),
-			"member", m.address, "held", c.document.GetVersion())
-	}
+	c.offer(m, update.DocumentVersion)
+	return c.setDocument(update.Document)
+}
+
+// setDocument takes a document over and reports whether it is newer than the
+// current one. The caller holds mu.
+func (c *Client) setDocument(d *wirepb.Document) (newer bool) {
+	newer = d.GetVersion() > c.document.GetVersion()
 	if newer {
-		c.document = update.Document
+		c.document = d
 	}
 	return newer
 }
--- a/internal/directory/client_test.go
+++ b/internal/directory/client_test.go
@@ -19,6 +19,14 @@
 	listener *wire.Listener
 	// announcements receives the announcements with their sessions.
 	announcements chan announcement
+	// requests receives the requests for documents.
+	requests chan documentRequest
+}
+
+type documentRequest struct {
+	session *wire.Session
+	call    uint64
+	request *wirepb.FetchDocumentRequest
 }
 
 type announcement struct {
@@ -28,14 +36,20 @@
 
 const testTimeout = 60 * time.Second
 
-func startMember(t *testing.T, address string) *testMember {
-	m := &testMember{t: t, announcements: make(chan announcement, 16)}
+func startMember(t *testing.T, address string) *testMember { return startMemberIn(t, "", address) }
+
+// startMemberIn starts a member in a zone.
+func startMemberIn(t *testing.T, zone, address string) *testMember {
+	m := &testMember{t: t, announcements: make(chan announcement, 16), requests: make(chan documentRequest, 16)}
 	listener, err := wire.Listen(address, wire.Options{
-		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "control", Cluster: "c"} },
+		Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "control", Cluster: "c", Zone: zone} },
 		Handler: func(s *wire.Session, e *wirepb.Envelope) {
 			if a := e.GetAnnounce(); a != nil {
 				m.announcements <- announcement{s, a}
 			}
+			if r := e.GetFetchDocumentRequest(); r != nil {
+				m.requests <- documentRequest{s, e.Call, r}
+			}
 		},
 		HeartbeatInterval: SessionHeartbeatInterval, IdleTimeout: testTimeout, Log: logr.Discard(),
 	})
@@ -72,10 +86,12 @@
 	c := &testClient{t: t, views: make(chan View, 64)}
 	c.Client = Start(Options{
 		Seeds:    seeds,
-		Wire:     wire.Options{Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "dispatcher", Cluster: "c"} }, Log: logr.Discard()},
+		Wire:     wire.Options{Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "dispatcher", Cluster: "c", Zone: "z1"} }, Log: logr.Discard()},
 		Announce: func() *wirepb.Announce { return &wirepb.Announce{Role: "dispatcher", Name: "d"} },
 		OnChange: func(v View) { c.views <- v },
 		Log:      logr.Discard(),
+
+		UsesDocuments: true,
 	})
 	t.Cleanup(c.Close)
 	return c
--- /dev/null
+++ b/internal/directory/documents.go
@@ -0,0 +1,189 @@
+package directory
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"context"
+	"hash/fnv"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/wire"
+)
+
+const (
+	// hedgeDelay is how long a request for a document waits until a further member is
+	// asked, which may be faster. The first request goes on.
+	hedgeDelay = 400 * time.Millisecond
+	// fetchTimeout bounds the requests for one document. All members are asked again
+	// after it.
+	fetchTimeout = 5 * time.Second
+)
+
+// offer records which document a member has. The caller holds mu.
+func (c *Client) offer(m *member, version uint64) {
+	m.offeredVersion = max(m.offeredVersion, version)
+	if version <= c.document.GetVersion() {
+		return
+	}
+	select {
+	case c.documentOffered <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
+// fetchDocuments requests each newer document that members offer, until the client is
+// closed. Documents that were overtaken by a newer one meanwhile are not requested.
+func (c *Client) fetchDocuments() {
+	for {
+		select {
+		case <-c.documentOffered:
+		case <-c.ctx.Done():
+			return
+		}
+		for c.ctx.Err() == nil && c.isNewerOffered() {
+			c.fetchDocument()
+		}
+	}
+}
+
+// isNewerOffered reports whether a connected member has a newer document.
+func (c *Client) isNewerOffered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sources()) > 0
+}
+
+// sources returns the connected members that have a newer document, the best one first:
+// that with the newest document, then one in the same zone. Processes choose differently
+// among equal ones. The caller holds mu.
+func (c *Client) sources() []*member {
+	var sources []*member
+	for _, m := range c.members {
+		if m.session != nil && m.offeredVersion > c.document.GetVersion() {
+			sources = append(sources, m)
+		}
+	}
+	own := c.opts.Wire.Hello()
+	slices.SortFunc(sources, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.offeredVersion, a.offeredVersion),
+			cmp.Compare(distance(a, own), distance(b, own)),
+			cmp.Compare(rank(a, own), rank(b, own)))
+	})
+	return sources
+}
+
+// distance is 0 for a member in the zone of a process, else 1.
+func distance(m *member, own *wirepb.Hello) int {
+	if m.session.Peer().GetZone() == own.GetZone() {
+		return 0
+	}
+	return 1
+}
+
+// rank orders members in a way that differs from process to process.
+func rank(m *member, own *wirepb.Hello) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, own.GetName()+"\n"+m.address) // never fails
+	return h.Sum64()
+}
+
+// fetched is the outcome of a request for a document.
+type fetched struct {
+	document *wirepb.Document
+	err      error
+}
+
+// fetchDocument requests the newest document from one member after the other until
+// one answers: the next one after hedgeDelay, or at once after an error. It returns when
+// there is a newer document, when no member offers one any more, or after fetchTimeout.
+func (c *Client) fetchDocument() {
+	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+	defer cancel() // gives up the requests that are still open
+	asked := map[*wire.Session]bool{}
+	replies := make(chan fetched)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for c.isNewerOffered() {
+		select {
+		case <-next.C:
+			c.askNext(ctx, asked, replies)
+			next.Reset(hedgeDelay)
+		case reply := <-replies:
+			if reply.err == nil {
+				c.applyFetched(reply.document)
+				return
+			}
+			next.Reset(0)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askNext requests the newest document from the best member that was not asked yet.
+func (c *Client) askNext(ctx context.Context, asked map[*wire.Session]bool, replies chan<- fetched) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.sources() {
+		if asked[m.session] {
+			continue
+		}
+		asked[m.session] = true
+		session, minVersion := m.session, c.document.GetVersion()+1
+		c.wg.Go(func() { c.request(ctx, session, m.address, minVersion, replies) })
+		return
+	}
+}
+
+// request requests a document of at least a version from a member.
+func (c *Client) request(ctx context.Context, s *wire.Session, address string, minVersion uint64, replies chan<- fetched) {
+	began := time.Now()
+	request := &wirepb.FetchDocumentRequest{MinVersion: minVersion}
+	reply, err := s.Call(ctx, wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_FetchDocumentRequest{FetchDocumentRequest: request}})
+	response := reply.GetFetchDocumentResponse()
+	var document *wirepb.Document
+	if err == nil {
+		document, err = decompress(response)
+	}
+	if err != nil && ctx.Err() != nil {
+		return // given up
+	}
+	if err != nil {
+		c.opts.Log.Info("document not received", "member", address, "min_version", minVersion, "error", err.Error())
+	} else {
+		c.opts.Log.Info("document received", "version", document.Version, "bytes", len(document.Body),
+			"compressed", len(response.CompressedBody), "member", address, "took_ms", time.Since(began).Milliseconds())
+	}
+	select {
+	case replies <- fetched{document, err}:
+	case <-ctx.Done():
+	}
+}
+
+func decompress(response *wirepb.FetchDocumentResponse) (*wirepb.Document, error) {
+	r, err := gzip.NewReader(bytes.NewReader(response.GetCompressedBody()))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress document")
+	}
+	body, err := io.ReadAll(io.LimitReader(r, wire.MaxFrameBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress document")
+	}
+	return &wirepb.Document{Version: response.Version, Body: body}, nil
+}
+
+// applyFetched takes a document over and calls OnChange if it is newer.
+func (c *Client) applyFetched(document *wirepb.Document) {
+	c.mu.Lock()
+	newer := c.setDocument(document)
+	c.mu.Unlock()
+	if newer {
+		c.notify()
+	}
+}
--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -39,6 +39,9 @@
 	processes map[wirepb.ProcessKey]*wirepb.Announce
 	// listedMembers are the session addresses of the members that it lists.
 	listedMembers []string
+	// offeredVersion is the version of the newest document that this member offered in
+	// the current session.
+	offeredVersion uint64
 	// session is the current session, or nil.
 	session *wire.Session
 	// disconnectedAt is when the last session ended, or when the member was
@@ -149,7 +152,7 @@
 func (c *Client) setConnected(m *member, s *wire.Session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m.session, m.disconnectedAt = s, time.Time{}
+	m.session, m.disconnectedAt, m.offeredVersion = s, time.Time{}, 0
 	m.processes = map[wirepb.ProcessKey]*wirepb.Announce{}
 }
 
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -51,6 +51,8 @@
 		OnChange:   p.directoryChanged,
 		SharedJobs: sharedJobsEvents{p},
 		Log:        opts.Log,
+
+		UsesDocuments: true,
 	})
 	opts.Log.Info("dispatcher started")
 	return p
@@ -80,8 +82,8 @@
 
 // directoryChanged applies a view of the control members.
 func (p *Process) directoryChanged(v directory.View) {
+	p.applyDocument(v.Document) // first, since the list may wait for the loop
 	p.links.update(v.Processes)
-	p.applyDocument(v.Document)
 }
 
 // applyDocument puts a configuration document in force when its version is
