Documents of up to 16 KB go along with the update that tells of them

A dispatcher that requests a document waits for one more round trip and for processor time once more. So members send a small document at once, as they did before, and only the version of a larger one. Runners are still told nothing.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -11,6 +11,10 @@
 	// minPublishInterval is the minimum time between two updates of the
 	// directory, so that many processes that join at once cause few messages.
 	minPublishInterval = 20 * time.Millisecond
+	// maxInlineDocumentBytes is the size of the largest document that is sent with the
+	// update that tells of it. It costs little more than the update itself, and saves
+	// a busy dispatcher the request.
+	maxInlineDocumentBytes = 16 << 10
 	// roleDispatcher is the role whose processes receive the list of connected
 	// processes.
 	roleDispatcher = "dispatcher"
@@ -192,15 +196,15 @@
 }
 
 // addDocument adds to an update what the subscriber is to know of a document, and reports
-// whether it is anything. A dispatcher requests the document itself, once from any of the
-// members, and a runner uses none. A process of an older version gets all of it.
+// whether it is anything. A dispatcher requests a large document itself, from any one of
+// the members, and a runner uses none. A process of an older version is sent all of it.
 func (s *subscriber) addDocument(update *wirepb.DirectoryUpdate, document *wirepb.Document) bool {
 	fetches := s.announce.FetchesDocuments
 	if document.GetVersion() <= s.version || fetches && s.announce.Role != roleDispatcher {
 		return false
 	}
 	s.version = document.Version
-	if fetches {
+	if fetches && len(document.Body) > maxInlineDocumentBytes {
 		update.DocumentVersion = document.Version
 	} else {
 		update.Document = document
