A member that is behind its leader offers no document

A dispatcher that starts and hears this member first puts the old document in force until another member has told it of the newer one. A caller there gets a 404 for a route that exists all the same.

Change: heartbeats carry the leader's commit index, and a member says nothing of a document before it has applied that far.

Ruled out by reading: a member whose disk stands still does apply what is committed.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -93,12 +93,18 @@
 	return d.changed && current || len(d.joined) > 0 || len(d.left) > 0
 }
 
+// isCurrent reports whether this member has what was committed when it last heard from
+// the leader: it has applied an entry of the leader's term, and all that the leader has
+// said to be committed.
+func (l *loop) isCurrent() bool {
+	return l.leadership.Leader != 0 && l.appliedTerm == l.leadership.Term && l.applied >= l.core.LeaderCommit()
+}
+
 // publish sends the changes since the last update to the processes that need
-// them. A member that knows no leader, or has not applied an entry of the
-// leader's term yet, says nothing of a document, because its own may be outdated. It
-// still publishes the connected processes.
+// them. A member that is not current says nothing of a document, because its own may be
+// outdated. It still publishes the connected processes.
 func (d *directory) publish(l *loop, now time.Time) {
-	current := l.leadership.Leader != 0 && l.appliedTerm == l.leadership.Term
+	current := l.isCurrent()
 	if !d.hasUpdates(current) || now.Sub(d.lastPublished) < minPublishInterval {
 		return
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -33,6 +33,8 @@
 	role               statechart.State
 	term, vote, leader uint64
 	commit             uint64
+	// leaderCommit is the largest commit index that a leader has told this member.
+	leaderCommit uint64
 	// applied is the last index handed out in Ready.Committed or covered by a
 	// snapshot.
 	applied uint64
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -160,10 +160,11 @@
 	}
 	term, _ := c.log.term(prev)
 	c.send(id, heartbeatMessage(&wirepb.Heartbeat{
-		Round:     c.lead.reads.round,
-		Commit:    min(c.commit, p.match),
-		PrevIndex: prev,
-		PrevTerm:  term,
+		Round:        c.lead.reads.round,
+		Commit:       min(c.commit, p.match),
+		PrevIndex:    prev,
+		PrevTerm:     term,
+		LeaderCommit: c.commit,
 	}))
 }
 
@@ -202,6 +203,7 @@
 }
 
 func (c *Core) onAppend(from uint64, r *wirepb.AppendRequest) {
+	c.leaderCommit = max(c.leaderCommit, r.Commit)
 	prev, prevTerm, entries := r.PrevIndex, r.PrevTerm, r.Entries
 	if prev < c.commit {
 		// Committed entries match those of every later leader, so they are
@@ -254,6 +256,7 @@
 }
 
 func (c *Core) onHeartbeat(from uint64, h *wirepb.Heartbeat) {
+	c.leaderCommit = max(c.leaderCommit, h.LeaderCommit)
 	c.send(from, heartbeatResponseMessage(&wirepb.HeartbeatResponse{Round: h.Round}))
 	if h.PrevIndex > c.commit && !c.log.matches(h.PrevIndex, h.PrevTerm) {
 		c.rejectAppend(from, h.PrevIndex, h.PrevTerm)
@@ -316,6 +319,10 @@
 	c.advanceChange()
 }
 
+// LeaderCommit returns the largest commit index that a leader has told this member. A
+// member that has applied less is behind: what it holds may be outdated.
+func (c *Core) LeaderCommit() uint64 { return c.leaderCommit }
+
 func (c *Core) commitTo(index uint64) {
 	if index <= c.commit {
 		return
