Test: a route of a large document is served in time over a bounded link

After the 2.5 s that the operators' bound allows, each dispatcher has to serve the route that a version added. Links of tests cost nothing so far.

--- a/internal/testkit/proc/relay.go
+++ b/internal/testkit/proc/relay.go
@@ -20,6 +20,7 @@
 	target       string
 	silent       [directionCount]bool
 	delay        time.Duration
+	uplink       *Uplink // of data from the target; nil if it is not bounded
 	closed       bool
 	conns        map[net.Conn]side
 	// orphans are the connections to the target whose client has been broken off.
@@ -89,6 +90,23 @@
 	r.delay = delay
 }
 
+// SetUplink bounds the data from the target process.
+func (r *Relay) SetUplink(u *Uplink) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.uplink = u
+}
+
+// uplinkOf returns the bound of a direction, or nil.
+func (r *Relay) uplinkOf(d Direction) *Uplink {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if d == FromTarget {
+		return r.uplink
+	}
+	return nil
+}
+
 // CloseConnections closes all open connections. New connections are still accepted.
 func (r *Relay) CloseConnections() {
 	r.mu.Lock()
@@ -215,6 +233,7 @@
 			return io.EOF
 		}
 		time.Sleep(delay)
+		r.uplinkOf(d).pass(n)
 		if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 			return writeErr
 		}
