--- a/internal/controlmember/controlmember_test.go
+++ b/internal/controlmember/controlmember_test.go
@@ -18,7 +18,7 @@
 
 // group is a control group on loopback addresses.
 type group struct {
-	t     *testing.T
+	t     testing.TB
 	dir   string
 	port  int
 	seeds []string
@@ -26,10 +26,13 @@
 	scope tally.Scope
 }
 
-func newGroup(t *testing.T) *group {
+func newGroup(t testing.TB) *group { return newGroupOf(t, 3) }
+
+// newGroupOf returns a group of the given size.
+func newGroupOf(t testing.TB, members int) *group {
 	t.Helper()
 	g := &group{t: t, dir: t.TempDir(), port: testkit.Port()}
-	for i := 1; i <= 3; i++ {
+	for i := 1; i <= members; i++ {
 		g.seeds = append(g.seeds, g.address(i))
 	}
 	return g
@@ -42,7 +45,7 @@
 	g.t.Helper()
 	m, err := Start(g.t.Context(), Options{
 		Cluster: "test", Name: fmt.Sprint("member", host), Zone: "z", Address: g.address(host), ListenAddress: g.address(host), Seeds: g.seeds,
-		FirstStart: first, DataDir: filepath.Join(g.dir, disk), Voters: 3, Log: logr.Discard(), Scope: g.scope,
+		FirstStart: first, DataDir: filepath.Join(g.dir, disk), Voters: len(g.seeds), Log: logr.Discard(), Scope: g.scope,
 	})
 	assert.NilError(g.t, err)
 	g.t.Cleanup(func() { kill(m) })
@@ -53,7 +56,7 @@
 func (g *group) startAll() map[int]*Member {
 	g.t.Helper()
 	members := map[int]*Member{}
-	for i := 1; i <= 3; i++ {
+	for i := 1; i <= len(g.seeds); i++ {
 		members[i] = g.start(i, fmt.Sprint("disk", i), true)
 	}
 	return members
--- a/internal/controlmember/cost_test.go
+++ b/internal/controlmember/cost_test.go
@@ -67,3 +67,58 @@
 	copies := float64(sentToProcesses(scope)-before) / float64(len(body))
 	assert.Assert(t, copies < 1.5, "the members sent the document %.1f times to one dispatcher and three runners", copies)
 }
+
+// BenchmarkChange measures what a change of the document costs: the bytes that five
+// members send to a number of dispatchers and runners.
+func BenchmarkChange(b *testing.B) {
+	for _, fleet := range []struct{ dispatchers, runners int }{{1, 4}, {5, 58}, {31, 169}} {
+		for _, routes := range []int{40, 2500, 8000} {
+			b.Run(fmt.Sprintf("dispatchers=%d/runners=%d/routes=%d", fleet.dispatchers, fleet.runners, routes), func(b *testing.B) {
+				benchmarkChange(b, fleet.dispatchers, fleet.runners, routes)
+			})
+		}
+	}
+}
+
+func benchmarkChange(b *testing.B, dispatchers, runners, routes int) {
+	g := newGroupOf(b, 5)
+	scope := tally.NewTestScope("", nil)
+	g.scope = scope
+	members := g.startAll()
+	var using []*testProcess
+	for i := range dispatchers {
+		name := fmt.Sprint("d", i)
+		using = append(using, connectAnnounced(b, &wirepb.Announce{Role: "dispatcher", Name: name, Address: name}, g.seeds...))
+	}
+	for i := range runners {
+		name := fmt.Sprint("r", i)
+		connectAnnounced(b, &wirepb.Announce{Role: "runner", Name: name, Address: name}, g.seeds...)
+	}
+	inForce := func(version uint64) func() bool {
+		return func() bool {
+			for _, p := range using {
+				if !p.hasView(version, dispatchers+runners) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	g.put(members[1], 1)
+	g.waitFor("all are connected", inForce(1))
+	size := 0
+	var sent int64
+	for version := uint64(2); b.Loop(); version++ {
+		before := sentToProcesses(scope)
+		body := documentOf(version, routes)
+		size = len(body)
+		g.waitFor("the document is stored", func() bool { return members[1].Put(b.Context(), version, body) == nil })
+		g.waitFor("the dispatchers have the document", inForce(version))
+		time.Sleep(500 * time.Millisecond) // for copies that would come later
+		sent += sentToProcesses(scope) - before
+	}
+	perChange := float64(sent) / float64(b.N)
+	b.ReportMetric(float64(size)/1e3, "document-KB")
+	b.ReportMetric(perChange/1e6, "MB/change")
+	b.ReportMetric(perChange/1e3/float64(dispatchers+runners), "KB/process")
+}
--- a/internal/controlmember/directory_test.go
+++ b/internal/controlmember/directory_test.go
@@ -25,12 +25,12 @@
 	lastMinion *wirepb.MinionRecord
 }
 
-func connectProcess(t *testing.T, role, name, address string) *testProcess {
+func connectProcess(t testing.TB, role, name, address string) *testProcess {
 	return connectAnnounced(t, &wirepb.Announce{Role: role, Name: name, Address: name}, address)
 }
 
 // connectAnnounced connects a process with a given announcement to members.
-func connectAnnounced(t *testing.T, announce *wirepb.Announce, address ...string) *testProcess {
+func connectAnnounced(t testing.TB, announce *wirepb.Announce, address ...string) *testProcess {
 	p := &testProcess{}
 	hello := &wirepb.Hello{Role: announce.Role, Name: announce.Name, Cluster: "test"}
 	p.Client = directory.Start(directory.Options{
