A request for a document is given up only with its session

So a request has no timeout: its session ends when the member is silent. At most three are open at a time. A reply with an older document than was asked for is an error, or it would be asked for without end.

--- a/internal/directory/documents.go
+++ b/internal/directory/documents.go
@@ -18,11 +18,11 @@
 
 const (
 	// hedgeDelay is how long a request for a document waits until a further member is
-	// asked, which may be faster. The first request goes on.
+	// asked, which may be faster. The first request goes on, since on a slow link
+	// nothing else would come sooner.
 	hedgeDelay = 400 * time.Millisecond
-	// fetchTimeout bounds the requests for one document. All members are asked again
-	// after it.
-	fetchTimeout = 5 * time.Second
+	// maxOpenRequests bounds the requests for one document that are open at a time.
+	maxOpenRequests = 3
 )
 
 // offer records which document a member has. The caller holds mu.
@@ -100,25 +100,30 @@
 }
 
 // fetchDocument requests the newest document from one member after the other until
-// one answers: the next one after hedgeDelay, or at once after an error. It returns when
-// there is a newer document, when no member offers one any more, or after fetchTimeout.
+// one answers: the next one after hedgeDelay, or at once after an error. A request ends
+// with its session at the latest. It returns when there is a newer document, or when no
+// member offers one any more.
 func (c *Client) fetchDocument() {
-	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel() // gives up the requests that are still open
 	asked := map[*wire.Session]bool{}
 	replies := make(chan fetched)
+	open := 0
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for c.isNewerOffered() {
 		select {
 		case <-next.C:
-			c.askNext(ctx, asked, replies)
+			if open < maxOpenRequests && c.askNext(ctx, asked, replies) {
+				open++
+			}
 			next.Reset(hedgeDelay)
 		case reply := <-replies:
 			if reply.err == nil {
 				c.applyFetched(reply.document)
 				return
 			}
+			open--
 			next.Reset(0)
 		case <-ctx.Done():
 			return
@@ -126,8 +131,9 @@
 	}
 }
 
-// askNext requests the newest document from the best member that was not asked yet.
-func (c *Client) askNext(ctx context.Context, asked map[*wire.Session]bool, replies chan<- fetched) {
+// askNext requests the newest document from the best member that was not asked yet. It
+// reports whether there is one.
+func (c *Client) askNext(ctx context.Context, asked map[*wire.Session]bool, replies chan<- fetched) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.sources() {
@@ -136,38 +142,47 @@
 		}
 		asked[m.session] = true
 		session, minVersion := m.session, c.document.GetVersion()+1
-		c.wg.Go(func() { c.request(ctx, session, m.address, minVersion, replies) })
-		return
+		c.wg.Go(func() {
+			reply := c.request(ctx, session, m.address, minVersion)
+			select {
+			case replies <- reply:
+			case <-ctx.Done():
+			}
+		})
+		return true
 	}
+	return false
 }
 
 // request requests a document of at least a version from a member.
-func (c *Client) request(ctx context.Context, s *wire.Session, address string, minVersion uint64, replies chan<- fetched) {
+func (c *Client) request(ctx context.Context, s *wire.Session, address string, minVersion uint64) fetched {
 	began := time.Now()
 	request := &wirepb.FetchDocumentRequest{MinVersion: minVersion}
 	reply, err := s.Call(ctx, wire.LaneTraffic, &wirepb.Envelope{Body: &wirepb.Envelope_FetchDocumentRequest{FetchDocumentRequest: request}})
+	if ctx.Err() != nil {
+		return fetched{err: ctx.Err()} // given up
+	}
 	response := reply.GetFetchDocumentResponse()
 	var document *wirepb.Document
 	if err == nil {
-		document, err = decompress(response)
-	}
-	if err != nil && ctx.Err() != nil {
-		return // given up
+		document, err = decode(response, minVersion)
 	}
 	if err != nil {
 		c.opts.Log.Info("document not received", "member", address, "min_version", minVersion, "error", err.Error())
-	} else {
-		c.opts.Log.Info("document received", "version", document.Version, "bytes", len(document.Body),
-			"compressed", len(response.CompressedBody), "member", address, "took_ms", time.Since(began).Milliseconds())
-	}
-	select {
-	case replies <- fetched{document, err}:
-	case <-ctx.Done():
+		return fetched{err: err}
 	}
+	c.opts.Log.Info("document received", "version", document.Version, "bytes", len(document.Body),
+		"compressed", len(response.CompressedBody), "member", address, "took_ms", time.Since(began).Milliseconds())
+	return fetched{document: document}
 }
 
-func decompress(response *wirepb.FetchDocumentResponse) (*wirepb.Document, error) {
-	r, err := gzip.NewReader(bytes.NewReader(response.GetCompressedBody()))
+// decode returns the document of a response. The error says why it is not a document of
+// at least the given version.
+func decode(response *wirepb.FetchDocumentResponse, minVersion uint64) (*wirepb.Document, error) {
+	if response.GetVersion() < minVersion {
+		return nil, eris.Errorf("version %d is older than %d", response.GetVersion(), minVersion)
+	}
+	r, err := gzip.NewReader(bytes.NewReader(response.CompressedBody))
 	if err != nil {
 		return nil, eris.Wrap(err, "decompress document")
 	}
--- a/internal/directory/documents_test.go
+++ b/internal/directory/documents_test.go
@@ -149,6 +149,22 @@
 	c.waitForView(3)
 }
 
+// TestOlderReplyIsNoDocument: a member that answers with an older document than was asked
+// for is not asked for it again and again.
+func TestOlderReplyIsNoDocument(t *testing.T) {
+	odd, sound := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
+	c := startClient(t, odd.listener.Address(), sound.listener.Address())
+	atOdd, atSound := odd.nextAnnouncement(), sound.nextAnnouncement()
+	atOdd.sendUpdate(&wirepb.DirectoryUpdate{Document: &wirepb.Document{Version: 5}})
+	c.waitForView(5)
+	atOdd.sendUpdate(offered(9))
+	odd.nextRequest().reply(t, 4, "four")
+	atSound.sendUpdate(offered(7))
+	sound.nextRequest().reply(t, 7, "seven")
+	c.waitForView(7)
+	odd.assertNoRequest()
+}
+
 // TestMemberOfAnOlderVersionSendsDocuments: it sends whole documents, unasked.
 func TestMemberOfAnOlderVersionSendsDocuments(t *testing.T) {
 	older, newer := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
--- a/internal/dispatcher/process.go
+++ b/internal/dispatcher/process.go
@@ -45,14 +45,13 @@
 	p := newProcess(opts, startWindow)
 	go p.loop.run()
 	p.directory = directory.Start(directory.Options{
-		Seeds:      opts.Seeds,
-		Wire:       wire.Options{Hello: p.opts.hello, Scope: p.opts.Scope, Log: opts.Log},
-		Announce:   p.announce,
-		OnChange:   p.directoryChanged,
-		SharedJobs: sharedJobsEvents{p},
-		Log:        opts.Log,
-
+		Seeds:         opts.Seeds,
+		Wire:          wire.Options{Hello: p.opts.hello, Scope: p.opts.Scope, Log: opts.Log},
+		Announce:      p.announce,
+		OnChange:      p.directoryChanged,
 		UsesDocuments: true,
+		SharedJobs:    sharedJobsEvents{p},
+		Log:           opts.Log,
 	})
 	opts.Log.Info("dispatcher started")
 	return p
