A dispatcher rests after a document that took long to apply

In a series of changes one document came right after the other. Now the next one is requested after twice the time that the last one took, at most 0.5 s later: a change is in force later by that, and callers get the processor meanwhile. Documents that are applied quickly, or sent along with the update, are not affected.

TestDocumentsInSeriesTookTheProcessor fails without it.

--- a/internal/directory/client_test.go
+++ b/internal/directory/client_test.go
@@ -82,16 +82,21 @@
 	views chan View
 }
 
-func startClient(t *testing.T, seeds ...string) *testClient {
+func startClient(t *testing.T, seeds ...string) *testClient { return startSlowClient(t, 0, seeds...) }
+
+// startSlowClient starts a client whose OnChange takes a time.
+func startSlowClient(t *testing.T, took time.Duration, seeds ...string) *testClient {
 	c := &testClient{t: t, views: make(chan View, 64)}
 	c.Client = Start(Options{
 		Seeds:    seeds,
 		Wire:     wire.Options{Hello: func() *wirepb.Hello { return &wirepb.Hello{Role: "dispatcher", Cluster: "c", Zone: "z1"} }, Log: logr.Discard()},
 		Announce: func() *wirepb.Announce { return &wirepb.Announce{Role: "dispatcher", Name: "d"} },
-		OnChange: func(v View) { c.views <- v },
-		Log:      logr.Discard(),
-
+		OnChange: func(v View) {
+			time.Sleep(took)
+			c.views <- v
+		},
 		UsesDocuments: true,
+		Log:           logr.Discard(),
 	})
 	t.Cleanup(c.Close)
 	return c
--- a/internal/directory/documents.go
+++ b/internal/directory/documents.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/sleep"
 	"endivewing/internal/wire"
 )
 
@@ -23,6 +24,11 @@
 	hedgeDelay = 400 * time.Millisecond
 	// maxOpenRequests bounds the requests for one document that are open at a time.
 	maxOpenRequests = 3
+	// restFactor is how many times as long as a document took to be applied the next one
+	// is left alone, up to maxRest. A series of large documents would take the processor
+	// from the callers otherwise.
+	restFactor = 2
+	maxRest    = 500 * time.Millisecond
 )
 
 // offer records which document a member has. The caller holds mu.
@@ -47,7 +53,8 @@
 			return
 		}
 		for c.ctx.Err() == nil && c.isNewerOffered() {
-			c.fetchDocument()
+			took := c.fetchDocument()
+			sleep.For(c.ctx, min(restFactor*took, maxRest))
 		}
 	}
 }
@@ -102,8 +109,8 @@
 // fetchDocument requests the newest document from one member after the other until
 // one answers: the next one after hedgeDelay, or at once after an error. A request ends
 // with its session at the latest. It returns when there is a newer document, or when no
-// member offers one any more.
-func (c *Client) fetchDocument() {
+// member offers one any more, and says how long OnChange took.
+func (c *Client) fetchDocument() (took time.Duration) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel() // gives up the requests that are still open
 	asked := map[*wire.Session]bool{}
@@ -120,15 +127,17 @@
 			next.Reset(hedgeDelay)
 		case reply := <-replies:
 			if reply.err == nil {
+				began := time.Now()
 				c.applyFetched(reply.document)
-				return
+				return time.Since(began)
 			}
 			open--
 			next.Reset(0)
 		case <-ctx.Done():
-			return
+			return 0
 		}
 	}
+	return 0
 }
 
 // askNext requests the newest document from the best member that was not asked yet. It
--- a/internal/directory/documents_test.go
+++ b/internal/directory/documents_test.go
@@ -100,6 +100,24 @@
 	one.assertNoRequest()
 }
 
+// TestDocumentsInSeriesTookTheProcessor: documents that take long to apply came one right
+// after the other, and callers waited.
+func TestDocumentsInSeriesTookTheProcessor(t *testing.T) {
+	const took = 100 * time.Millisecond
+	one := startMember(t, "127.0.0.1:0")
+	c := startSlowClient(t, took, one.listener.Address())
+	at := one.nextAnnouncement()
+	at.sendUpdate(offered(1))
+	request := one.nextRequest()
+	at.sendUpdate(offered(2))
+	request.reply(t, 1, "one")
+	c.waitForView(1)
+	applied := time.Now()
+	one.nextRequest().reply(t, 2, "two")
+	assert.Assert(t, time.Since(applied) > took, "the next document was requested after %v", time.Since(applied))
+	c.waitForView(2)
+}
+
 // TestDocumentOfASilentMemberComesFromAnother: the member that was asked stands still, or
 // the way to it is cut.
 func TestDocumentOfASilentMemberComesFromAnother(t *testing.T) {
