--- a/internal/control/directory_test.go
+++ b/internal/control/directory_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	wirepb "endivewing/api/endivewing/v1"
+	"endivewing/internal/quorum"
 )
 
 // TestWhatProcessesAreToldOfADocument: a dispatcher is told the version of a large document
@@ -41,3 +42,23 @@
 		})
 	}
 }
+
+// TestMemberThatIsBehindOfferedItsDocument: a member is current only once it has applied what
+// its leader has said to be committed.
+func TestMemberThatIsBehindOfferedItsDocument(t *testing.T) {
+	const term, committed = 5, 9
+	core, err := quorum.New(quorum.Config{ID: 1, ElectionTicks: 10, HeartbeatTicks: 1, MaxBatchBytes: 1, MaxInflight: 1}, quorum.StoredState{
+		Hard:       quorum.HardState{Term: term},
+		Membership: quorum.Membership{Voters: []quorum.Member{{ID: 1}, {ID: 2}, {ID: 3}}},
+	})
+	assert.NilError(t, err)
+	l := &loop{core: core, leadership: quorum.Leadership{Leader: 2, Term: term}, appliedTerm: term, applied: committed - 1}
+	assert.Assert(t, l.isCurrent(), "the leader has said nothing yet")
+	heartbeat := &wirepb.CoreMessage_Heartbeat{Heartbeat: &wirepb.Heartbeat{LeaderCommit: committed}}
+	assert.NilError(t, core.Step(&wirepb.CoreMessage{From: 2, To: 1, Term: term, Body: heartbeat}))
+	assert.Assert(t, !l.isCurrent())
+	l.applied = committed
+	assert.Assert(t, l.isCurrent())
+	l.leadership.Term++
+	assert.Assert(t, !l.isCurrent(), "nothing of the leader's term is applied")
+}
