--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -131,8 +131,10 @@
 		}
 	}
 	c.handleSharedJobs(&opts)
+	began := time.Now()
 	s, err := wire.Dial(c.ctx, m.address, opts)
 	if err != nil {
+		c.opts.Log.Info("control member not connected", "address", m.address, "took_ms", time.Since(began).Milliseconds(), "error", err.Error())
 		return
 	}
 	s.Start()
