A busy process keeps the connections that it has opened

Cause: the timeout of a connection attempt ran on while the process had no processor time. The connection was open, but the goroutine that waited for it ran too late, and gave it up. A dispatcher that loses its sessions while it is busy gets them back by luck, and has the old document until then. The class is the one of sessions that ended as silent because their own process stood still (IgnoreLocalStalls).

Change: an attempt without an answer is not given up; after the same interval there is one more beside it, which reaches a host that was without power as soon as before. The first that succeeds or is refused decides. It holds for sessions with runners and among members too.

Tried and dropped: to count only time in which the process was active.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -31,7 +31,7 @@
 }
 
 func newPeers(self uint64, opts wire.Options) *peers {
-	opts.ConnectTimeout = wire.ShortConnectTimeout
+	opts.ConnectInterval = wire.ShortConnectInterval
 	return &peers{self: self, opts: opts, links: map[uint64]*link{}, inbound: map[uint64]*wire.Session{}}
 }
 
--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -18,9 +18,9 @@
 	startWindow = 3 * time.Second
 	// startPause is the longest pause between two dials in the start window.
 	startPause = 30 * time.Millisecond
-	// startConnectTimeout is the connect timeout in the start window. A connection
+	// startConnectInterval is the connect interval in the start window. A connection
 	// request to a host without power gets no reply.
-	startConnectTimeout = 50 * time.Millisecond
+	startConnectInterval = 50 * time.Millisecond
 	// SessionIdleTimeout is the idle timeout of a session with a member. It is short
 	// enough that a change reaches the process in time through another member.
 	SessionIdleTimeout = 1500 * time.Millisecond
@@ -89,11 +89,11 @@
 
 func (c *Client) inStartWindow() bool { return time.Since(c.started) < startWindow }
 
-func (c *Client) connectTimeout() time.Duration {
+func (c *Client) connectInterval() time.Duration {
 	if c.inStartWindow() {
-		return startConnectTimeout
+		return startConnectInterval
 	}
-	return wire.ShortConnectTimeout
+	return wire.ShortConnectInterval
 }
 
 // removeUnlisted removes a member that is not a seed, that no connected member
@@ -123,7 +123,7 @@
 // runSession opens a session with a member and returns when it has ended.
 func (c *Client) runSession(m *member) {
 	opts := c.opts.Wire
-	opts.ConnectTimeout, opts.HeartbeatInterval, opts.IdleTimeout = c.connectTimeout(), SessionHeartbeatInterval, SessionIdleTimeout
+	opts.ConnectInterval, opts.HeartbeatInterval, opts.IdleTimeout = c.connectInterval(), SessionHeartbeatInterval, SessionIdleTimeout
 	opts.IgnoreLocalStalls = true
 	opts.Handler = func(_ *wire.Session, e *wirepb.Envelope) {
 		if update := e.GetDirectoryUpdate(); update != nil {
--- a/internal/dispatcher/links.go
+++ b/internal/dispatcher/links.go
@@ -153,7 +153,7 @@
 		Hello:             l.p.opts.hello,
 		Handler:           l.p.onEnvelope,
 		OnClosed:          func(*wire.Session) { close(closed) },
-		ConnectTimeout:    wire.ShortConnectTimeout,
+		ConnectInterval:   wire.ShortConnectInterval,
 		HeartbeatInterval: runner.SessionHeartbeatInterval,
 		IdleTimeout:       runner.SessionIdleTimeout,
 		IgnoreLocalStalls: true,
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -47,8 +47,7 @@
 // session. The error wraps ErrWrongVersion or ErrWrongCluster if the peer does
 // not match.
 func Dial(ctx context.Context, address string, opts Options) (*Session, error) {
-	dialer := net.Dialer{Timeout: opts.connectTimeout()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := connect(ctx, address, opts.connectInterval())
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", address)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,12 +53,10 @@
 	maxQueuedBytes = 128 << 20
 
 	handshakeTimeout = 3 * time.Second
-	// ShortConnectTimeout is a short value of Options.ConnectTimeout for a peer that is
-	// dialed until it responds. A host that is powered off does not respond at
-	// all, and a short timeout lets the next attempt reach it soon after it is
-	// back.
-	ShortConnectTimeout = 150 * time.Millisecond
-	lengthBytes         = 4
+	// ShortConnectInterval is a short value of Options.ConnectInterval for a peer that is
+	// dialed until it responds.
+	ShortConnectInterval = 150 * time.Millisecond
+	lengthBytes          = 4
 )
 
 var (
@@ -80,7 +78,7 @@
 	return cmp.Or(o.HeartbeatInterval, defaultHeartbeatInterval)
 }
 
-func (o *Options) connectTimeout() time.Duration { return cmp.Or(o.ConnectTimeout, handshakeTimeout) }
+func (o *Options) connectInterval() time.Duration { return cmp.Or(o.ConnectInterval, handshakeTimeout) }
 
 func (o *Options) idleTimeout() time.Duration { return cmp.Or(o.IdleTimeout, DefaultIdleTimeout) }
 
@@ -101,9 +99,10 @@
 	OnClosed func(s *Session)
 	// TLS secures the sessions unless it is nil.
 	TLS *tls.Config
-	// ConnectTimeout is the timeout of the TCP connection attempt in Dial, before the
-	// handshake. 0 means handshakeTimeout.
-	ConnectTimeout time.Duration
+	// ConnectInterval is the time without an answer after which Dial makes another TCP
+	// connection attempt beside the earlier ones. 0 means handshakeTimeout, which bounds
+	// all of them.
+	ConnectInterval time.Duration
 	// HeartbeatInterval is the time without a sent frame after which a heartbeat is
 	// sent. 0 means defaultHeartbeatInterval.
 	HeartbeatInterval time.Duration
