--- a/internal/directory/documents_test.go
+++ b/internal/directory/documents_test.go
@@ -54,6 +54,13 @@
 	assert.NilError(t, r.session.Reply(wire.LaneTraffic, r.call, fault))
 }
 
+// startPair starts two members and a client that is connected to both.
+func startPair(t *testing.T) (one, two *testMember, c *testClient, atOne, atTwo announcement) {
+	one, two = startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
+	c = startClient(t, one.listener.Address(), two.listener.Address())
+	return one, two, c, one.nextAnnouncement(), two.nextAnnouncement()
+}
+
 func offered(version uint64) *wirepb.DirectoryUpdate {
 	return &wirepb.DirectoryUpdate{DocumentVersion: version}
 }
@@ -121,9 +128,7 @@
 // TestDocumentOfASilentMemberComesFromAnother: the member that was asked stands still, or
 // the way to it is cut.
 func TestDocumentOfASilentMemberComesFromAnother(t *testing.T) {
-	silent, other := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
-	c := startClient(t, silent.listener.Address(), other.listener.Address())
-	atSilent, atOther := silent.nextAnnouncement(), other.nextAnnouncement()
+	silent, other, c, atSilent, atOther := startPair(t)
 	atSilent.sendUpdate(offered(3))
 	late := silent.nextRequest()
 	atOther.sendUpdate(offered(3))
@@ -135,9 +140,7 @@
 
 // TestLateDocumentCounts: on a slow link the first reply comes after others were asked.
 func TestLateDocumentCounts(t *testing.T) {
-	first, second := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
-	c := startClient(t, first.listener.Address(), second.listener.Address())
-	atFirst, atSecond := first.nextAnnouncement(), second.nextAnnouncement()
+	first, second, c, atFirst, atSecond := startPair(t)
 	atFirst.sendUpdate(offered(3))
 	request := first.nextRequest()
 	atSecond.sendUpdate(offered(3))
@@ -170,9 +173,7 @@
 // TestOlderReplyIsNoDocument: a member that answers with an older document than was asked
 // for is not asked for it again and again.
 func TestOlderReplyIsNoDocument(t *testing.T) {
-	odd, sound := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
-	c := startClient(t, odd.listener.Address(), sound.listener.Address())
-	atOdd, atSound := odd.nextAnnouncement(), sound.nextAnnouncement()
+	odd, sound, c, atOdd, atSound := startPair(t)
 	atOdd.sendUpdate(&wirepb.DirectoryUpdate{Document: &wirepb.Document{Version: 5}})
 	c.waitForView(5)
 	atOdd.sendUpdate(offered(9))
@@ -185,9 +186,7 @@
 
 // TestMemberOfAnOlderVersionSendsDocuments: it sends whole documents, unasked.
 func TestMemberOfAnOlderVersionSendsDocuments(t *testing.T) {
-	older, newer := startMember(t, "127.0.0.1:0"), startMember(t, "127.0.0.1:0")
-	c := startClient(t, older.listener.Address(), newer.listener.Address())
-	atOlder, atNewer := older.nextAnnouncement(), newer.nextAnnouncement()
+	_, newer, c, atOlder, atNewer := startPair(t)
 	atOlder.sendUpdate(&wirepb.DirectoryUpdate{Document: &wirepb.Document{Version: 5, Body: []byte("five")}})
 	c.waitForView(5)
 	atNewer.sendUpdate(&wirepb.DirectoryUpdate{DocumentVersion: 5, Processes: runners(1)})
