Test: an urgent message is handed over before the large one has passed

Traced: under eight busy loops, in 80 of 80 plays the urgent message was still in its sender's queue when the gate opened, and in 5 the rest of the large message passed first, at the speed of memory. The session did what it should; the test let the link take in any number of bytes at once.

Now the gate holds 32 KB, as a kernel holds some, the flow-control window is open, and the bytes arrive in steps, 512 KB in all as before. As strict: with frames in one part it fails (two of two, and TestMessageWasHeldBackByTheNextOne too); with parts of 16 KB 40 of 40 plays of each passed beside eight busy loops. No product code is changed.

--- a/internal/wire/large_test.go
+++ b/internal/wire/large_test.go
@@ -21,9 +21,11 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	waiting []byte
-	err     error // of the connection
-	allowed int
-	open    bool // allows any number of bytes
+	// capacity bounds the bytes that wait, as a kernel does; 0 means no bound.
+	capacity int
+	err      error // of the connection
+	allowed  int
+	open     bool // allows any number of bytes
 }
 
 func newGatedConn(c net.Conn) *gatedConn {
@@ -42,6 +44,9 @@
 		g.waiting = append(g.waiting, buf[:n]...)
 		g.err = err
 		g.changed.Broadcast()
+		for g.capacity > 0 && len(g.waiting) >= g.capacity && !g.open {
+			g.changed.Wait()
+		}
 		g.mu.Unlock()
 		if err != nil {
 			return
@@ -65,9 +70,16 @@
 	n = copy(p, g.waiting[:n])
 	g.waiting = g.waiting[n:]
 	g.allowed -= n
+	g.changed.Broadcast()
 	return n, nil
 }
 
+func (g *gatedConn) setCapacity(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.capacity = n
+}
+
 // waitUntilWaiting waits until at least n bytes wait at the gate.
 func (g *gatedConn) waitUntilWaiting(n int) {
 	g.mu.Lock()
@@ -86,6 +98,15 @@
 	g.changed.Broadcast()
 }
 
+// allowSlowly lets n more bytes arrive in small steps, as over a slow link.
+func (g *gatedConn) allowSlowly(n int) {
+	const step = 4 << 10
+	for range n / step {
+		g.allow(step)
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (g *gatedConn) openGate() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -163,11 +184,7 @@
 	assert.NilError(t, from.Send(LaneTraffic, messageOf(4*frameTargetBytes)))
 	gate.waitUntilWaiting(5 * frameTargetBytes)
 	gate.allow(frameTargetBytes)
-	const step = 4 << 10
-	for range frameTargetBytes / step { // a quarter of the second message
-		gate.allow(step)
-		time.Sleep(time.Millisecond)
-	}
+	gate.allowSlowly(frameTargetBytes) // a quarter of the second message
 	r.waitFor(t, frameTargetBytes)
 }
 
@@ -175,12 +192,17 @@
 // of a large one on the other lane.
 func TestUrgentMessageWaitedBehindALargeOne(t *testing.T) {
 	var r received
-	from, gate, _ := gatedSessions(t, testOptions("c", ignore), testOptions("c", r.handle))
+	receiver := testOptions("c", r.handle)
+	receiver.IdleTimeout = time.Minute
+	from, gate, _ := gatedSessions(t, testOptions("c", ignore), receiver)
+	assert.NilError(t, from.Send(LaneTraffic, messageOf(2*frameTargetBytes)))
+	r.waitFor(t, 2*frameTargetBytes) // opens the flow-control window
 	gate.allow(0)
+	gate.setCapacity(2 * maxWriteBytes)
 	assert.NilError(t, from.Send(LaneTraffic, messageOf(4*frameTargetBytes)))
-	gate.waitUntilWaiting(1)
+	gate.waitUntilWaiting(2 * maxWriteBytes)
 	assert.NilError(t, from.Send(LaneUrgent, messageOf(1)))
-	gate.allow(2 * frameTargetBytes)
+	gate.allowSlowly(2 * frameTargetBytes) // half of the large message
 	r.waitFor(t, 1)
 }
 
