--- /dev/null
+++ b/review/play3/cases.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// cases play a case and report whether the rule was broken.
+var cases = map[int]func(w *world, trouble bool) (broken bool, err error){
+	11: suspendedMachine,
+}
+
+func runCase(args []string) int {
+	if len(args) == 0 {
+		return exitNotRun
+	}
+	var number int
+	_, _ = fmt.Sscan(args[0], &number)
+	f := flag.NewFlagSet("case", flag.ExitOnError)
+	folder := f.String("folder", ".", "")
+	program := f.String("program", "", "")
+	trouble := f.Int("trouble", 1, "")
+	_ = f.Parse(args[1:])
+	play := cases[number]
+	if play == nil {
+		return exitNotRun
+	}
+	w, err := newWorld(*program, *folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer w.close()
+	broken, err := play(w, *trouble != 0)
+	switch {
+	case err != nil:
+		w.note("could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	case broken:
+		w.note("the rule was broken")
+		return exitBroken
+	default:
+		w.note("the rule held")
+		return exitHeld
+	}
+}
+
+// span is a time in which a run was at work, in nanoseconds.
+type span struct {
+	minion   string
+	run      int
+	from, to int64
+}
+
+// spans returns the runs of each task.
+func spans(events []event) map[string][]span {
+	type key struct {
+		minion, task string
+		run          int
+	}
+	began := map[key]int64{}
+	all := map[string][]span{}
+	for _, e := range events {
+		k := key{e.Minion, e.Task, e.Run}
+		switch e.What {
+		case "start":
+			began[k] = e.At
+		case "end":
+			all[e.Task] = append(all[e.Task], span{e.Minion, e.Run, began[k], e.At})
+			delete(began, k)
+		}
+	}
+	now := time.Now().UnixNano()
+	for k, from := range began {
+		all[k.task] = append(all[k.task], span{k.minion, k.run, from, now})
+	}
+	return all
+}
+
+// outside cuts the part of a span off that lies in a time in which its machine stood
+// still: what was at work before, and what after.
+func (s span) outside(from, to int64) []span {
+	if to <= s.from || from >= s.to {
+		return []span{s}
+	}
+	var parts []span
+	if s.from < from {
+		parts = append(parts, span{s.minion, s.run, s.from, from})
+	}
+	if s.to > to {
+		parts = append(parts, span{s.minion, s.run, to, s.to})
+	}
+	return parts
+}
+
+// suspendedMachine is case 11: a side machine is suspended for some seconds, with its
+// runner and its minion. The minion's steady clock doesn't count that time, so its lease
+// goes on when it wakes. Meanwhile the tasks have been started elsewhere.
+func suspendedMachine(w *world, trouble bool) (bool, error) {
+	const suspended = 5700 * time.Millisecond
+	f, err := w.startFleet(6)
+	if err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(125 * time.Millisecond):
+				clients.Go(func() { w.submit(f, fmt.Sprintf("%016x", rand.Uint64()), "3100 900", 4, 3100, 900, 4) })
+			}
+		}
+	})
+	time.Sleep(3 * time.Second)
+	var from, to int64
+	if trouble {
+		w.note("machine side-0 is suspended, with its runner and its minion")
+		from = time.Now().UnixNano()
+		f.runners[0].signal(syscall.SIGSTOP)
+		f.minions[0].signal(syscall.SIGSTOP)
+		time.Sleep(suspended)
+		w.note("machine side-0 goes on")
+		to = time.Now().UnixNano()
+		f.minions[0].signal(syscall.SIGCONT)
+		f.runners[0].signal(syscall.SIGCONT)
+	} else {
+		time.Sleep(suspended)
+	}
+	time.Sleep(3 * time.Second)
+	close(stop)
+	clients.Wait()
+	time.Sleep(time.Second)
+	events, err := w.events(f)
+	if err != nil {
+		return false, err
+	}
+	broken := 0
+	for task, runs := range spans(events) {
+		var parts []span
+		for _, s := range runs {
+			if s.minion == "i-0" && trouble {
+				parts = append(parts, s.outside(from, to)...)
+			} else {
+				parts = append(parts, s)
+			}
+		}
+		for i, a := range parts {
+			for _, b := range parts[i+1:] {
+				if both := min(a.to, b.to) - max(a.from, b.from); both > 0 && a.minion != b.minion {
+					broken++
+					w.note("TWICE: task %s was at work at %s (run %d) and at %s (run %d) for %d ms at the same time", task, a.minion, a.run, b.minion, b.run, both/1e6)
+				}
+			}
+		}
+	}
+	w.note("%d tasks, %d overlaps", len(spans(events)), broken)
+	return broken > 0, nil
+}
