Review case 12: a planned replacement of two core machines ends the group

Cause: a voter that leaves as planned keeps its vote until it has been silent for 3 s; the second one that leaves within that time takes the quorum along.

--- a/review/play3/cases.go
+++ b/review/play3/cases.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -13,6 +16,7 @@
 // cases play a case and report whether the rule was broken.
 var cases = map[int]func(w *world, trouble bool) (broken bool, err error){
 	11: suspendedMachine,
+	12: replacedAsPlanned,
 }
 
 func runCase(args []string) int {
@@ -165,3 +169,77 @@
 	w.note("%d tasks, %d overlaps", len(spans(events)), broken)
 	return broken > 0, nil
 }
+
+const (
+	// catchUp is how long a machine that is new or back counts as lost (catchUpS).
+	catchUp = 4 * time.Second
+	// graceTime is the time from SIGTERM to SIGKILL (graceS).
+	graceTime = 6 * time.Second
+	// recovery is how long the system may take after all machines are back (recoveryS).
+	recovery = 12 * time.Second
+)
+
+// replacedAsPlanned is case 12: two of three core machines are replaced as planned, the
+// new ones first. The old ones stop one after the other when their successors have had
+// their time to catch up, so none counts as lost at any time.
+func replacedAsPlanned(w *world, trouble bool) (bool, error) {
+	const gap = 1300 * time.Millisecond
+	f, err := w.startFleet(2)
+	if err != nil {
+		return false, err
+	}
+	for version := 2; version <= 5; version++ {
+		if err := w.putDocument(f, version); err != nil {
+			return false, err
+		}
+	}
+	for core := 3; core <= 4; core++ {
+		w.note("core-%d starts, with an empty disk: it is to replace core-%d", core, core-3)
+		successor, err := w.startMember(core, false)
+		if err != nil {
+			return false, err
+		}
+		f.members, f.operators = append(f.members, successor), append(f.operators, address(w.host(1+core), w.ports.control))
+	}
+	time.Sleep(catchUp + 2*time.Second)
+	acked := 6
+	if err := w.putDocument(f, acked); err != nil {
+		return false, err
+	}
+	if trouble {
+		for core := range 2 {
+			w.note("core-%d gets SIGTERM: it leaves", core)
+			f.members[core].signal(syscall.SIGTERM)
+			began := time.Now()
+			if !f.members[core].ended(graceTime) {
+				f.members[core].signal(syscall.SIGKILL)
+			}
+			w.note("core-%d has ended after %d ms", core, time.Since(began).Milliseconds())
+			time.Sleep(gap - time.Since(began))
+		}
+		f.operators = f.operators[2:]
+	}
+	time.Sleep(catchUp + recovery)
+	return !w.readsBack(f, acked), nil
+}
+
+// readsBack has the operator request the desired state at all nodes for 10 s, longer than
+// contactMs. It reports whether it came, with the version or a later one.
+func (w *world) readsBack(f *fleet, version int) bool {
+	answers := map[string]int{}
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(200 * time.Millisecond) {
+		for _, from := range f.operators {
+			status, body := request(context.Background(), http.MethodGet, from, "/-/config", "", "", time.Second)
+			if status != http.StatusOK {
+				answers[fmt.Sprintf("%s: %d", from, status)]++
+				continue
+			}
+			var read struct{ Version int }
+			_ = json.Unmarshal([]byte(body), &read)
+			w.note("%s answers the read with version %d; %d was acknowledged", from, read.Version, version)
+			return read.Version >= version
+		}
+	}
+	w.note("CONFIG: read back for 10 s, the desired state doesn't come; answers: %v", answers)
+	return false
+}
--- a/review/play3/world.go
+++ b/review/play3/world.go
@@ -85,7 +85,7 @@
 }
 
 // settings returns the settings file of a role, as deploy/settings.yaml.tmpl gives it.
-func (w *world) settings(role, name, host, zone, tail string) string {
+func (w *world) settings(role, name, host, zone, tail string, firstStart bool) string {
 	var seeds []string
 	for _, s := range w.seeds {
 		seeds = append(seeds, fmt.Sprintf("%q", address(s, w.ports.control)))
@@ -102,21 +102,45 @@
   address: %s
   session_port: %d
   seeds: [%s]
-  first_start: true
+  first_start: %v
   memory: 280MiB
   tolerate: 1
-%s`, name, zone, role, address(host, w.ports.debug), host, w.ports.session, strings.Join(seeds, ","), tail)
+%s`, name, zone, role, address(host, w.ports.debug), host, w.ports.session, strings.Join(seeds, ","), firstStart, tail)
 }
 
 // serve starts the project's program in a role, with the command of the deploy file.
 func (w *world) serve(role, name, host, zone, tail string) (*process, error) {
-	path := filepath.Join(w.temp, name+".yaml")
-	if err := os.WriteFile(path, []byte(w.settings(role, name, host, zone, tail)), 0o600); err != nil {
+	path, err := w.writeSettings(role, name, host, zone, tail, true)
+	if err != nil {
 		return nil, err
 	}
 	return w.launch(name, w.program, "serve", "--config", path)
 }
 
+func (w *world) writeSettings(role, name, host, zone, tail string, firstStart bool) (path string, err error) {
+	path = filepath.Join(w.temp, name+".yaml")
+	return path, os.WriteFile(path, []byte(w.settings(role, name, host, zone, tail, firstStart)), 0o600)
+}
+
+// dataFolder is the disk of a core machine.
+func (w *world) dataFolder(core int) string { return filepath.Join(w.temp, fmt.Sprint("data-", core)) }
+
+// writeMemberSettings writes the settings of a core machine.
+func (w *world) writeMemberSettings(core int, firstStart bool) (path string, err error) {
+	host := w.host(1 + core)
+	tail := fmt.Sprintf("  data: %s\n  operators: %q\n", w.dataFolder(core), address(host, w.ports.control))
+	return w.writeSettings("member", fmt.Sprint("core-", core), host, zones[core%3], tail, firstStart)
+}
+
+// startMember starts the process of a core machine.
+func (w *world) startMember(core int, firstStart bool) (*process, error) {
+	path, err := w.writeMemberSettings(core, firstStart)
+	if err != nil {
+		return nil, err
+	}
+	return w.launch(fmt.Sprint("core-", core), w.program, "serve", "--config", path)
+}
+
 func (w *world) launch(name, program string, args ...string) (*process, error) {
 	p := &process{name: name, args: append([]string{program}, args...), logPath: filepath.Join(w.temp, name+".log")}
 	if err := p.start(); err != nil {
@@ -148,6 +172,16 @@
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// ended reports whether the process has ended within a time.
+func (p *process) ended(within time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
 // close ends all processes that the script has started, and keeps their logs if asked.
 func (w *world) close() {
 	for _, p := range w.processes {
@@ -182,13 +216,11 @@
 		w.seeds = append(w.seeds, w.host(1+i))
 	}
 	for i := range 3 {
-		host := w.host(1 + i)
-		tail := fmt.Sprintf("  data: %s\n  operators: %q\n", filepath.Join(w.temp, fmt.Sprint("data-", i)), address(host, w.ports.control))
-		p, err := w.serve("member", fmt.Sprint("core-", i), host, zones[i%3], tail)
+		p, err := w.startMember(i, true)
 		if err != nil {
 			return nil, err
 		}
-		f.members, f.operators = append(f.members, p), append(f.operators, address(host, w.ports.control))
+		f.members, f.operators = append(f.members, p), append(f.operators, address(w.host(1+i), w.ports.control))
 	}
 	for i := range runners {
 		host := w.host(40 + i)
