Review case 13: a cancelled job runs on

Cause: DELETE of a job that isn't stored is answered 410 without a look at the open jobs. Change: script and claim.

--- a/review/play3/cases.go
+++ b/review/play3/cases.go
@@ -17,6 +17,7 @@
 var cases = map[int]func(w *world, trouble bool) (broken bool, err error){
 	11: suspendedMachine,
 	12: replacedAsPlanned,
+	13: cancelledByDelete,
 }
 
 func runCase(args []string) int {
@@ -243,3 +244,66 @@
 	w.note("CONFIG: read back for 10 s, the desired state doesn't come; answers: %v", answers)
 	return false
 }
+
+// cancelTime is the time after the acknowledgement of a cancel by which no task of the job
+// starts any more, and stopGrace how much later none runs (cancel_ms, stopGraceMs).
+const (
+	cancelTime = 3 * time.Second
+	stopGrace  = 50 * time.Millisecond
+)
+
+// cancelledByDelete is case 13: clients cancel jobs with DELETE, at the node that has
+// them, while they wait for the answer.
+func cancelledByDelete(w *world, trouble bool) (bool, error) {
+	f, err := w.startFleet(4)
+	if err != nil {
+		return false, err
+	}
+	const body = `{"spec":"3100 3600","phases":[{"count":2,"cpu":3100,"memMb":64,"estRuntimeMs":3600}],"bestEffort":true}`
+	const limit = 5 * time.Second
+	acked := map[string]int64{}
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	for n := range 6 {
+		id, to := fmt.Sprintf("%016x", rand.Uint64()), f.fronts[n%3]
+		clients.Go(func() {
+			w.note("client sends job %s to %s", id, to)
+			status, answer := request(context.Background(), http.MethodPost, to, "/q/"+id, "q.example", body, limit)
+			w.note("job %s is answered %d %s", id, status, answer)
+		})
+		time.Sleep(200 * time.Millisecond)
+		if !trouble {
+			continue
+		}
+		clients.Go(func() {
+			status, answer := request(context.Background(), http.MethodDelete, to, "/q/"+id, "q.example", "", time.Second)
+			w.note("job %s is cancelled at %s: %d %s", id, to, status, answer)
+			if status/100 == 2 || status == http.StatusGone {
+				mu.Lock()
+				acked[id] = time.Now().UnixNano()
+				mu.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	time.Sleep(time.Second)
+	events, err := w.events(f)
+	if err != nil {
+		return false, err
+	}
+	broken := 0
+	for task, runs := range spans(events) {
+		at := acked[task[:16]]
+		for _, s := range runs {
+			if at != 0 && s.from > at+cancelTime.Nanoseconds() {
+				broken++
+				w.note("UNASKED: task %s starts at %s %d ms after the cancel was acknowledged", task, s.minion, (s.from-at)/1e6)
+			} else if at != 0 && s.to > at+(cancelTime+stopGrace).Nanoseconds() {
+				broken++
+				w.note("UNASKED: task %s runs on at %s until %d ms after the cancel was acknowledged", task, s.minion, (s.to-at)/1e6)
+			}
+		}
+	}
+	w.note("%d cancels acknowledged, %d tasks started or ran on too late", len(acked), broken)
+	return broken > 0, nil
+}
