--- a/review/play3/minion.go
+++ b/review/play3/minion.go
@@ -35,6 +35,7 @@
 	Run    int    `json:"run"`
 	How    string `json:"how,omitempty"`
 	Spec   string `json:"spec,omitempty"`
+	Label  string `json:"label,omitempty"`
 }
 
 // minionRun is a run at work.
@@ -129,7 +130,7 @@
 }
 
 func (m *minion) note(e event) {
-	e.At, e.Minion = time.Now().UnixNano(), m.id
+	e.At, e.Minion, e.Label = time.Now().UnixNano(), m.id, m.label
 	line, _ := json.Marshal(e)
 	_, _ = m.record.Write(append(line, '\n'))
 }
