--- a/review/play3/cases.go
+++ b/review/play3/cases.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,8 +17,6 @@
 var cases = map[int]func(w *world, trouble bool) (broken bool, err error){
 	11: suspendedMachine,
 	12: replacedAsPlanned,
-	13: cancelledByDelete,
-	14: otherKindAtOnce,
 }
 
 func runCase(args []string) int {
@@ -246,132 +243,3 @@
 	w.note("CONFIG: read back for 10 s, the desired state doesn't come; answers: %v", answers)
 	return false
 }
-
-// cancelTime is the time after the acknowledgement of a cancel by which no task of the job
-// starts any more, and stopGrace how much later none runs (cancel_ms, stopGraceMs).
-const (
-	cancelTime = 3 * time.Second
-	stopGrace  = 50 * time.Millisecond
-)
-
-// cancelledByDelete is case 13: clients cancel jobs with DELETE, at the node that has
-// them, while they wait for the answer.
-func cancelledByDelete(w *world, trouble bool) (bool, error) {
-	f, err := w.startFleet(4)
-	if err != nil {
-		return false, err
-	}
-	const body = `{"spec":"3100 3600","phases":[{"count":2,"cpu":3100,"memMb":64,"estRuntimeMs":3600}],"bestEffort":true}`
-	const limit = 5 * time.Second
-	acked := map[string]int64{}
-	var mu sync.Mutex
-	var clients sync.WaitGroup
-	for n := range 6 {
-		id, to := fmt.Sprintf("%016x", rand.Uint64()), f.fronts[n%3]
-		clients.Go(func() {
-			w.note("client sends job %s to %s", id, to)
-			status, answer := request(context.Background(), http.MethodPost, to, "/q/"+id, "q.example", body, limit)
-			w.note("job %s is answered %d %s", id, status, answer)
-		})
-		time.Sleep(200 * time.Millisecond)
-		if !trouble {
-			continue
-		}
-		clients.Go(func() {
-			status, answer := request(context.Background(), http.MethodDelete, to, "/q/"+id, "q.example", "", time.Second)
-			w.note("job %s is cancelled at %s: %d %s", id, to, status, answer)
-			if status/100 == 2 || status == http.StatusGone {
-				mu.Lock()
-				acked[id] = time.Now().UnixNano()
-				mu.Unlock()
-			}
-		})
-	}
-	clients.Wait()
-	time.Sleep(time.Second)
-	events, err := w.events(f)
-	if err != nil {
-		return false, err
-	}
-	broken := 0
-	for task, runs := range spans(events) {
-		at := acked[task[:16]]
-		for _, s := range runs {
-			if at != 0 && s.from > at+cancelTime.Nanoseconds() {
-				broken++
-				w.note("UNASKED: task %s starts at %s %d ms after the cancel was acknowledged", task, s.minion, (s.from-at)/1e6)
-			} else if at != 0 && s.to > at+(cancelTime+stopGrace).Nanoseconds() {
-				broken++
-				w.note("UNASKED: task %s runs on at %s until %d ms after the cancel was acknowledged", task, s.minion, (s.to-at)/1e6)
-			}
-		}
-	}
-	w.note("%d cancels acknowledged, %d tasks started or ran on too late", len(acked), broken)
-	return broken > 0, nil
-}
-
-// otherKindAtOnce is case 14: a minion crashes and is back at once, under the id that it
-// had, as another kind.
-func otherKindAtOnce(w *world, trouble bool) (bool, error) {
-	f, err := w.startFleet(8)
-	if err != nil {
-		return false, err
-	}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for _, label := range []string{"a", "b"} {
-		clients.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(10 * time.Millisecond):
-					clients.Go(func() {
-						body := fmt.Sprintf(`{"spec":"3100 60 %s","phases":[{"count":4,"cpu":3100,"memMb":64,"estRuntimeMs":60,"constraints":%q}],"bestEffort":true}`, label, label)
-						id := fmt.Sprintf("%016x", rand.Uint64())
-						status, answer := request(context.Background(), http.MethodPost, f.fronts[rand.IntN(3)], "/q/"+id, "q.example", body, clientLimit)
-						w.note("job %s for kind %s is answered %d %s", id, label, status, answer)
-					})
-				}
-			}
-		})
-	}
-	const crashes, pause = 48, time.Second
-	for n := range crashes {
-		time.Sleep(pause)
-		if !trouble {
-			continue
-		}
-		i := 2*n%len(f.minions) + 2*n/len(f.minions)%2 // no two neighbours one after the other
-		kind := f.minions[i].args[len(f.minions[i].args)-1]
-		other := map[string]string{"a": "b", "b": "a"}[kind]
-		p := f.minions[i]
-		p.args[len(p.args)-1] = other
-		p.signal(syscall.SIGKILL)
-		<-p.done
-		if err := p.start(); err != nil {
-			return false, err
-		}
-		w.note("minion i-%d has crashed and is back as kind %s", i, other)
-	}
-	close(stop)
-	clients.Wait()
-	time.Sleep(500 * time.Millisecond)
-	events, err := w.events(f)
-	if err != nil {
-		return false, err
-	}
-	broken, starts := 0, 0
-	for _, e := range events {
-		if e.What != "start" {
-			continue
-		}
-		starts++
-		if want := e.Spec[strings.LastIndexByte(e.Spec, ' ')+1:]; want != e.Label {
-			broken++
-			w.note("ROUTE: task %s for kind %s starts at %s, which is of kind %s", e.Task, want, e.Minion, e.Label)
-		}
-	}
-	w.note("%d starts, %d at the other kind", starts, broken)
-	return broken > 0, nil
-}
--- a/review/play3/minion.go
+++ b/review/play3/minion.go
@@ -35,7 +35,6 @@
 	Run    int    `json:"run"`
 	How    string `json:"how,omitempty"`
 	Spec   string `json:"spec,omitempty"`
-	Label  string `json:"label,omitempty"`
 }
 
 // minionRun is a run at work.
@@ -130,7 +129,7 @@
 }
 
 func (m *minion) note(e event) {
-	e.At, e.Minion, e.Label = time.Now().UnixNano(), m.id, m.label
+	e.At, e.Minion = time.Now().UnixNano(), m.id
 	line, _ := json.Marshal(e)
 	_, _ = m.record.Write(append(line, '\n'))
 }
