Review case 13: a minion's own reports are dropped after one of another writer

Cause: a report with fields missing counts as the minion's own; its number is the one that later reports have to reach, and those below are acknowledged and dropped, the report of a drain among them.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the cases 11 and 12 start, into target/review-3/.
+# Builds the stand-ins that the scripts of the cases 11 to 13 start, into target/review-3/.
 # The build of the deploy file comes before it. It needs no network.
 set -eu
 cd "$(dirname "$0")/play3"
--- a/review/play3/cases.go
+++ b/review/play3/cases.go
@@ -17,6 +17,7 @@
 var cases = map[int]func(w *world, trouble bool) (broken bool, err error){
 	11: suspendedMachine,
 	12: replacedAsPlanned,
+	13: reportOfAnotherWriter,
 }
 
 func runCase(args []string) int {
@@ -243,3 +244,83 @@
 	w.note("CONFIG: read back for 10 s, the desired state doesn't come; answers: %v", answers)
 	return false
 }
+
+// drainTime is the time after the acknowledgement of a drain by which no task starts any
+// more (drainMs).
+const drainTime = 2 * time.Second
+
+// reportOfAnotherWriter is case 13: a report of another writer, with fields missing, comes
+// under a minion's name. Later the minion says that it leaves.
+func reportOfAnotherWriter(w *world, trouble bool) (bool, error) {
+	f, err := w.startFleet(4)
+	if err != nil {
+		return false, err
+	}
+	events, err := w.events(f)
+	if err != nil {
+		return false, err
+	}
+	if trouble {
+		if err := w.sendOddReport(events); err != nil {
+			return false, err
+		}
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				clients.Go(func() { w.submit(f, fmt.Sprintf("%016x", rand.Uint64()), "3100 200", 4, 3100, 200, 1) })
+			}
+		}
+	})
+	time.Sleep(6 * time.Second) // four reports of the minion itself
+	w.note("minion i-0 begins to drain")
+	f.minions[0].signal(syscall.SIGUSR1)
+	time.Sleep(drainTimeLeft)
+	close(stop)
+	clients.Wait()
+	if events, err = w.events(f); err != nil {
+		return false, err
+	}
+	return w.startsAfterDrain(events) > 0, nil
+}
+
+// sendOddReport sends a report under the name of i-0 as another writer does: zone, version,
+// slots and coldLeftMs are missing, and the number is its own.
+func (w *world) sendOddReport(events []event) error {
+	host := w.host(40)
+	for _, e := range events {
+		if e.What != "boot" || e.Minion != "i-0" {
+			continue
+		}
+		body := fmt.Sprintf(`{"service":"svc","addr":%q,"state":"ready","capacity":{"cpu":%d,"memMb":65536,"gpus":0},"labels":["a","r1-1"],"seq":100000,"born":%d}`,
+			address(host, w.ports.app), minionCPU, e.Born)
+		status, answer := request(context.Background(), http.MethodPut, address(host, w.ports.control), "/-/instances/i-0", "", body, time.Second)
+		w.note("another writer reports under the name of i-0: %s; answered %d %s", body, status, answer)
+		return nil
+	}
+	return fmt.Errorf("no boot of i-0 in the record")
+}
+
+// startsAfterDrain counts the starts at i-0 later than drainTime after the
+// acknowledgement of its drain.
+func (w *world) startsAfterDrain(events []event) int {
+	var acked int64
+	for _, e := range events {
+		if e.What == "draining" && e.Minion == "i-0" {
+			acked = e.At
+		}
+	}
+	late, last := 0, int64(0)
+	for _, e := range events {
+		if e.What == "start" && e.Minion == "i-0" && acked != 0 && e.At > acked+drainTime.Nanoseconds() {
+			late, last = late+1, e.At-acked
+		}
+	}
+	w.note("DRAIN: %d tasks start at i-0 later than %v after its drain was acknowledged, the last %d ms after it", late, drainTime, last/1e6)
+	return late
+}
--- a/review/play3/main.go
+++ b/review/play3/main.go
@@ -1,4 +1,4 @@
-// Command review-3 holds the stand-ins of the cases 11 and 12 and the scripts that use
+// Command review-3 holds the stand-ins of the cases 11 to 13 and the scripts that use
 // them. "review-3 minion" is a minion as a process of its own. "review-3 case N" starts
 // the project's programs and the stand-ins on loopback addresses, plays case N and judges
 // it by what minions and clients have seen.
--- a/review/play3/minion.go
+++ b/review/play3/minion.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,10 +32,11 @@
 type event struct {
 	At     int64  `json:"at"`
 	Minion string `json:"minion"`
-	What   string `json:"what"` // start, end
+	What   string `json:"what"` // boot, start, end, draining
 	Task   string `json:"task"`
 	Run    int    `json:"run"`
 	How    string `json:"how,omitempty"`
+	Born   int64  `json:"born,omitempty"`
 	Spec   string `json:"spec,omitempty"`
 }
 
@@ -62,6 +65,7 @@
 	ended    [][]any
 	lastEnd  int
 	seq      int
+	draining bool
 	changed  chan struct{}
 	record   *os.File
 }
@@ -86,6 +90,7 @@
 	}
 	m.born = time.Now().UnixMilli()
 	m.lastRead = time.Now()
+	m.note(event{What: "boot", Born: m.born})
 	go m.tick()
 	go m.beat()
 	mux := http.NewServeMux()
@@ -142,31 +147,55 @@
 	}
 }
 
-// beat sends liveness reports.
+// drainTimeLeft is what a draining minion says in remainingMs.
+const drainTimeLeft = 8 * time.Second
+
+// beat sends liveness reports. From SIGUSR1 on, they say that the minion is draining.
 func (m *minion) beat() {
 	client := http.Client{Timeout: time.Second}
+	drain := make(chan os.Signal, 1)
+	signal.Notify(drain, syscall.SIGUSR1)
+	acknowledged := false
 	for {
-		m.mu.Lock()
-		m.advance()
-		m.seq++
-		body, _ := json.Marshal(map[string]any{
-			"service": "svc", "addr": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-			"capacity": map[string]any{"cpu": minionCPU, "memMb": 65536, "gpus": 0}, "labels": []string{m.label, "r1-1"},
-			"clockMs": m.steady.Milliseconds(), "seq": m.seq, "born": m.born,
-		})
-		m.mu.Unlock()
 		pause := beatInterval
-		request, _ := http.NewRequest(http.MethodPut, "http://"+m.reports+"/-/instances/"+m.id, bytes.NewReader(body))
+		request, _ := http.NewRequest(http.MethodPut, "http://"+m.reports+"/-/instances/"+m.id, bytes.NewReader(m.report()))
 		request.Header.Set("Content-Type", "application/json")
-		if response, err := client.Do(request); err != nil {
+		response, err := client.Do(request)
+		if err != nil {
 			pause = 200 * time.Millisecond // until the first one is acknowledged
 		} else {
 			_ = response.Body.Close()
+			if m.draining && !acknowledged && response.StatusCode/100 == 2 {
+				acknowledged = true
+				m.note(event{What: "draining"})
+			}
+		}
+		select {
+		case <-drain:
+			m.draining = true
+		case <-time.After(pause):
 		}
-		time.Sleep(pause)
 	}
 }
 
+// report returns the body of the next report.
+func (m *minion) report() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance()
+	m.seq++
+	report := map[string]any{
+		"service": "svc", "addr": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"capacity": map[string]any{"cpu": minionCPU, "memMb": 65536, "gpus": 0}, "labels": []string{m.label, "r1-1"},
+		"clockMs": m.steady.Milliseconds(), "seq": m.seq, "born": m.born,
+	}
+	if m.draining {
+		report["state"], report["remainingMs"] = "draining", drainTimeLeft.Milliseconds()
+	}
+	body, _ := json.Marshal(report)
+	return body
+}
+
 // call is the body of a call.
 type call struct {
 	Task         string `json:"task"`
