--- a/review/play3/cases.go
+++ b/review/play3/cases.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -41,6 +42,7 @@
 		return exitNotRun
 	}
 	defer w.close()
+	go w.closeEarly()
 	broken, err := play(w, *trouble != 0)
 	switch {
 	case err != nil:
@@ -56,6 +58,22 @@
 	}
 }
 
+// longestPlay is when a play that hangs is ended.
+const longestPlay = 115 * time.Second
+
+// closeEarly ends a play that takes too long or is told to end.
+func (w *world) closeEarly() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-told:
+	case <-time.After(longestPlay):
+	}
+	w.note("could not run: ended early")
+	w.close()
+	os.Exit(exitNotRun)
+}
+
 // span is a time in which a run was at work, in nanoseconds.
 type span struct {
 	minion   string
--- a/review/play3/world.go
+++ b/review/play3/world.go
@@ -35,6 +35,8 @@
 
 	mu     sync.Mutex
 	record *os.File
+	// closing is held while a process is started, and from close on.
+	closing sync.Mutex
 }
 
 // ports are the same on all machines.
@@ -63,9 +65,10 @@
 	return w, nil
 }
 
-// freePort returns a port that is free on all loopback addresses.
+// freePort returns a port that is free on one loopback address. On the others of this
+// script nobody else listens.
 func freePort() int {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return 0
 	}
@@ -142,6 +145,8 @@
 }
 
 func (w *world) launch(name, program string, args ...string) (*process, error) {
+	w.closing.Lock()
+	defer w.closing.Unlock()
 	p := &process{name: name, args: append([]string{program}, args...), logPath: filepath.Join(w.temp, name+".log")}
 	if err := p.start(); err != nil {
 		return nil, err
@@ -158,7 +163,6 @@
 	defer func() { _ = log.Close() }()
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -184,6 +188,7 @@
 
 // close ends all processes that the script has started, and keeps their logs if asked.
 func (w *world) close() {
+	w.closing.Lock() // for good: the script ends now
 	for _, p := range w.processes {
 		p.signal(syscall.SIGKILL)
 		<-p.done
